--- a/packages/cactussaddle-cli/src/cactussaddle_cli/commands/apply.py
+++ b/packages/cactussaddle-cli/src/cactussaddle_cli/commands/apply.py
@@ -26,10 +26,10 @@
 from cactussaddle_cli.sheetfile import load_sheet
 from cactussaddle_cli.waiting import IN_FORCE_S
 from cactussaddle_cli.waiting import wait_in_force
-from cactussaddle_platform.configstore import Accepted
-from cactussaddle_platform.configstore import LostRace
-from cactussaddle_platform.configstore import prune_verdicts
-from cactussaddle_platform.configstore import write_config
+from cactussaddle_common.configstore import Accepted
+from cactussaddle_common.configstore import LostRace
+from cactussaddle_common.configstore import prune_verdicts
+from cactussaddle_common.configstore import write_config
 
 if TYPE_CHECKING:
     import argparse
--- a/packages/cactussaddle-cli/src/cactussaddle_cli/commands/cancel.py
+++ b/packages/cactussaddle-cli/src/cactussaddle_cli/commands/cancel.py
@@ -24,22 +24,22 @@
 from cactussaddle_cli.plandata import fail_write
 from cactussaddle_cli.plandata import new_change_id
 from cactussaddle_cli.plandata import read_plan
+from cactussaddle_common.configstore import Accepted
+from cactussaddle_common.configstore import create_verdict
+from cactussaddle_common.configstore import write_config
 from cactussaddle_core.config.change import without_move
 from cactussaddle_core.config.check import check_doc
 from cactussaddle_core.config.model import MoveState
 from cactussaddle_core.config.verdict import row_text
-from cactussaddle_platform.configstore import Accepted
-from cactussaddle_platform.configstore import create_verdict
-from cactussaddle_platform.configstore import write_config
 
 if TYPE_CHECKING:
     import argparse
 
     from cactussaddle_cli.context import Context
     from cactussaddle_cli.plandata import PlanData
+    from cactussaddle_common.storeapi import Store
     from cactussaddle_core.config.model import Move
     from cactussaddle_core.config.verdict import Verdict
-    from cactussaddle_platform.storeapi import Store
 
 WRITE_ROUNDS = 5
 WRITER = "cactussaddle cancel"
--- a/packages/cactussaddle-cli/src/cactussaddle_cli/commands/history.py
+++ b/packages/cactussaddle-cli/src/cactussaddle_cli/commands/history.py
@@ -15,16 +15,16 @@
 from cactussaddle_cli.output import print_table
 from cactussaddle_cli.plandata import read_or_fail
 from cactussaddle_cli.plandata import read_stored
+from cactussaddle_common.configstore import read_revision
 from cactussaddle_core.config.change import diff_docs
-from cactussaddle_platform.configstore import read_revision
 
 if TYPE_CHECKING:
     import argparse
 
     from cactussaddle_cli.context import Context
+    from cactussaddle_common.history import HistoryIndex
+    from cactussaddle_common.storeapi import Store
     from cactussaddle_core.config.model import ConfigDoc
-    from cactussaddle_platform.history import HistoryIndex
-    from cactussaddle_platform.storeapi import Store
 
 DEFAULT_LIMIT = 10
 HEADERS = ("revision", "change", "what changed")
--- a/packages/cactussaddle-cli/src/cactussaddle_cli/commands/init.py
+++ b/packages/cactussaddle-cli/src/cactussaddle_cli/commands/init.py
@@ -22,21 +22,21 @@
 from cactussaddle_cli.plandata import new_change_id
 from cactussaddle_cli.plandata import read_or_fail
 from cactussaddle_cli.sheetfile import read_file
+from cactussaddle_common.configstore import LostRace
+from cactussaddle_common.configstore import read_config
+from cactussaddle_common.configstore import read_verdicts
+from cactussaddle_common.configstore import write_config
 from cactussaddle_core.config.change import diff_docs
 from cactussaddle_core.config.check import check_doc
 from cactussaddle_core.config.model import decode_doc
 from cactussaddle_core.exceptions import ConfigError
-from cactussaddle_platform.configstore import LostRace
-from cactussaddle_platform.configstore import read_config
-from cactussaddle_platform.configstore import read_verdicts
-from cactussaddle_platform.configstore import write_config
 
 if TYPE_CHECKING:
     import argparse
 
     from cactussaddle_cli.context import Context
+    from cactussaddle_common.configstore import StoredConfig
     from cactussaddle_core.config.model import ConfigDoc
-    from cactussaddle_platform.configstore import StoredConfig
 
 PARTS = ("domains", "services", "leaves", "routes")
 
--- a/packages/cactussaddle-cli/src/cactussaddle_cli/context.py
+++ b/packages/cactussaddle-cli/src/cactussaddle_cli/context.py
@@ -10,18 +10,18 @@
 
 from returns.result import Failure
 
+from cactussaddle_common.history import BYTES_PER_MB
+from cactussaddle_common.history import DEFAULT_MB
+from cactussaddle_common.history import LEAST_MB
+from cactussaddle_common.hostlist import HostList
+from cactussaddle_common.settings import Kind
+from cactussaddle_common.settings import Setting
+from cactussaddle_common.settings import SettingError
+from cactussaddle_common.settings import add_flags
+from cactussaddle_common.settings import exit_on_errors
+from cactussaddle_common.settings import resolve
+from cactussaddle_common.store import EtcdStore
 from cactussaddle_core.sheet.times import read_zone
-from cactussaddle_platform.history import BYTES_PER_MB
-from cactussaddle_platform.history import DEFAULT_MB
-from cactussaddle_platform.history import LEAST_MB
-from cactussaddle_platform.hostlist import HostList
-from cactussaddle_platform.settings import Kind
-from cactussaddle_platform.settings import Setting
-from cactussaddle_platform.settings import SettingError
-from cactussaddle_platform.settings import add_flags
-from cactussaddle_platform.settings import exit_on_errors
-from cactussaddle_platform.settings import resolve
-from cactussaddle_platform.store import EtcdStore
 
 if TYPE_CHECKING:
     import argparse
--- a/packages/cactussaddle-cli/src/cactussaddle_cli/nodes.py
+++ b/packages/cactussaddle-cli/src/cactussaddle_cli/nodes.py
@@ -16,7 +16,7 @@
 
 from cactussaddle_cli.exceptions import CommandError
 from cactussaddle_cli.exitcodes import ExitCode
-from cactussaddle_platform.httpclient import describe
+from cactussaddle_common.httpclient import describe
 
 if TYPE_CHECKING:
     import argparse
--- a/packages/cactussaddle-cli/src/cactussaddle_cli/plandata.py
+++ b/packages/cactussaddle-cli/src/cactussaddle_cli/plandata.py
@@ -13,20 +13,20 @@
 
 from cactussaddle_cli.exceptions import CommandError
 from cactussaddle_cli.exitcodes import ExitCode
+from cactussaddle_common.configstore import LostRace
+from cactussaddle_common.configstore import read_config
+from cactussaddle_common.configstore import read_verdicts
+from cactussaddle_common.storeapi import StoreErrorKind
 from cactussaddle_core.config.change import diff_docs
-from cactussaddle_platform.configstore import LostRace
-from cactussaddle_platform.configstore import read_config
-from cactussaddle_platform.configstore import read_verdicts
-from cactussaddle_platform.storeapi import StoreErrorKind
 
 if TYPE_CHECKING:
     from returns.result import Result
 
+    from cactussaddle_common.configstore import StoredConfig
+    from cactussaddle_common.storeapi import Store
+    from cactussaddle_common.storeapi import StoreError
     from cactussaddle_core.config.model import ConfigDoc
     from cactussaddle_core.config.verdict import Verdict
-    from cactussaddle_platform.configstore import StoredConfig
-    from cactussaddle_platform.storeapi import Store
-    from cactussaddle_platform.storeapi import StoreError
 
 T = TypeVar("T")
 CHANGE_ID_CHARS = 12
--- a/packages/cactussaddle-platform/src/cactussaddle_platform/configstore.py
+++ b/packages/cactussaddle-common/src/cactussaddle_common/configstore.py
@@ -15,6 +15,15 @@
 from returns.result import Result
 from returns.result import Success
 
+from cactussaddle_common.history import INDEX_KEY
+from cactussaddle_common.history import history_key
+from cactussaddle_common.history import next_index
+from cactussaddle_common.history import outdated
+from cactussaddle_common.history import read_index
+from cactussaddle_common.storeapi import ABSENT
+from cactussaddle_common.storeapi import StoreError
+from cactussaddle_common.storeapi import StoreErrorKind
+from cactussaddle_common.storeapi import SwapOutcome
 from cactussaddle_core.config.model import ConfigDoc
 from cactussaddle_core.config.model import decode_doc
 from cactussaddle_core.config.model import encode_doc
@@ -23,23 +32,14 @@
 from cactussaddle_core.config.verdict import decode_verdict
 from cactussaddle_core.config.verdict import verdict_key
 from cactussaddle_core.exceptions import ConfigError
-from cactussaddle_platform.history import INDEX_KEY
-from cactussaddle_platform.history import history_key
-from cactussaddle_platform.history import next_index
-from cactussaddle_platform.history import outdated
-from cactussaddle_platform.history import read_index
-from cactussaddle_platform.storeapi import ABSENT
-from cactussaddle_platform.storeapi import StoreError
-from cactussaddle_platform.storeapi import StoreErrorKind
-from cactussaddle_platform.storeapi import SwapOutcome
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
     from collections.abc import Sequence
 
-    from cactussaddle_platform.history import HistoryIndex
-    from cactussaddle_platform.storeapi import Entry
-    from cactussaddle_platform.storeapi import Store
+    from cactussaddle_common.history import HistoryIndex
+    from cactussaddle_common.storeapi import Entry
+    from cactussaddle_common.storeapi import Store
 
 CONFIG_KEY = "/cactussaddle/config"
 KEPT_VERDICTS_S = 30 * 86400.0
--- a/packages/cactussaddle-platform/src/cactussaddle_platform/etcdjson.py
+++ b/packages/cactussaddle-common/src/cactussaddle_common/etcdjson.py
@@ -6,11 +6,11 @@
 
 from typing import Any
 
-from cactussaddle_platform.storeapi import Entry
-from cactussaddle_platform.storeapi import SwapOutcome
-from cactussaddle_platform.storeapi import Update
-from cactussaddle_platform.storeapi import WatchBatch
-from cactussaddle_platform.storeapi import WatchEvent
+from cactussaddle_common.storeapi import Entry
+from cactussaddle_common.storeapi import SwapOutcome
+from cactussaddle_common.storeapi import Update
+from cactussaddle_common.storeapi import WatchBatch
+from cactussaddle_common.storeapi import WatchEvent
 
 Message = dict[str, Any]
 
--- a/packages/cactussaddle-platform/src/cactussaddle_platform/history.py
+++ b/packages/cactussaddle-common/src/cactussaddle_common/history.py
@@ -16,8 +16,8 @@
 from returns.result import Success
 
 if TYPE_CHECKING:
-    from cactussaddle_platform.storeapi import Store
-    from cactussaddle_platform.storeapi import StoreError
+    from cactussaddle_common.storeapi import Store
+    from cactussaddle_common.storeapi import StoreError
 
 HISTORY_PREFIX = "/cactussaddle/history/"
 INDEX_KEY = "/cactussaddle/history-index"
--- a/packages/cactussaddle-platform/src/cactussaddle_platform/hostlist.py
+++ b/packages/cactussaddle-common/src/cactussaddle_common/hostlist.py
@@ -15,8 +15,8 @@
 from returns.result import Result
 from returns.result import Success
 
-from cactussaddle_platform.httpclient import HttpClient
-from cactussaddle_platform.httpclient import describe
+from cactussaddle_common.httpclient import HttpClient
+from cactussaddle_common.httpclient import describe
 
 
 class HostState(enum.StrEnum):
--- a/packages/cactussaddle-platform/src/cactussaddle_platform/settings.py
+++ b/packages/cactussaddle-common/src/cactussaddle_common/settings.py
@@ -18,7 +18,7 @@
 from returns.result import Result
 from returns.result import Success
 
-from cactussaddle_platform import values
+from cactussaddle_common import values
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/packages/cactussaddle-platform/src/cactussaddle_platform/store.py
+++ b/packages/cactussaddle-common/src/cactussaddle_common/store.py
@@ -15,25 +15,25 @@
 from returns.result import Result
 from returns.result import Success
 
-from cactussaddle_platform import etcdjson
-from cactussaddle_platform.httpclient import HttpClient
-from cactussaddle_platform.httpclient import describe
-from cactussaddle_platform.storeapi import ABSENT
-from cactussaddle_platform.storeapi import MAX_GROUP
-from cactussaddle_platform.storeapi import Entry
-from cactussaddle_platform.storeapi import Snapshot
-from cactussaddle_platform.storeapi import StoreCall
-from cactussaddle_platform.storeapi import StoreError
-from cactussaddle_platform.storeapi import StoreErrorKind
-from cactussaddle_platform.storeapi import SwapOutcome
-from cactussaddle_platform.storeapi import Update
-from cactussaddle_platform.watch import Watch
+from cactussaddle_common import etcdjson
+from cactussaddle_common.httpclient import HttpClient
+from cactussaddle_common.httpclient import describe
+from cactussaddle_common.storeapi import ABSENT
+from cactussaddle_common.storeapi import MAX_GROUP
+from cactussaddle_common.storeapi import Entry
+from cactussaddle_common.storeapi import Snapshot
+from cactussaddle_common.storeapi import StoreCall
+from cactussaddle_common.storeapi import StoreError
+from cactussaddle_common.storeapi import StoreErrorKind
+from cactussaddle_common.storeapi import SwapOutcome
+from cactussaddle_common.storeapi import Update
+from cactussaddle_common.watch import Watch
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Sequence
 
-    from cactussaddle_platform.etcdjson import Message
+    from cactussaddle_common.etcdjson import Message
 
 CONNECT_SHARE = 0.5
 MAX_CONNECTIONS = 16
--- a/packages/cactussaddle-platform/src/cactussaddle_platform/watch.py
+++ b/packages/cactussaddle-common/src/cactussaddle_common/watch.py
@@ -15,11 +15,11 @@
 from returns.result import Result
 from returns.result import Success
 
-from cactussaddle_platform import etcdjson
-from cactussaddle_platform.httpclient import describe
-from cactussaddle_platform.storeapi import StoreError
-from cactussaddle_platform.storeapi import StoreErrorKind
-from cactussaddle_platform.storeapi import WatchBatch
+from cactussaddle_common import etcdjson
+from cactussaddle_common.httpclient import describe
+from cactussaddle_common.storeapi import StoreError
+from cactussaddle_common.storeapi import StoreErrorKind
+from cactussaddle_common.storeapi import WatchBatch
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
--- /dev/null
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/events.py
@@ -0,0 +1,152 @@
+"""Everything that can happen to a node, as events of its reducer."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+from typing import TypeAlias
+
+if TYPE_CHECKING:
+    from cactussaddle_core.fanout.model import CallEnd
+    from cactussaddle_core.fanout.model import CallerRequest
+    from cactussaddle_core.fleet.model import LeafEntry
+    from cactussaddle_core.fleet.probing import Health
+    from cactussaddle_core.routing.table import RoutingTable
+
+
+class RequestArrived(NamedTuple):
+    """A caller's request has been read to its end."""
+
+    request: CallerRequest
+
+
+class CallerGone(NamedTuple):
+    """The caller has closed its connection before the answer."""
+
+    req_id: int
+
+
+class CallLeft(NamedTuple):
+    """A call's request is on its way to the leaf."""
+
+    call_id: int
+
+
+class CallEnded(NamedTuple):
+    """A call has ended."""
+
+    end: CallEnd
+
+
+class Connected(NamedTuple):
+    """A connection to a leaf took `took_s` to open."""
+
+    leaf: str
+    took_s: float
+
+
+class ProbeEnded(NamedTuple):
+    """A health probe of a leaf has ended."""
+
+    leaf: str
+    health: Health
+
+
+class TableSeen(NamedTuple):
+    """A routing table was read."""
+
+    table: RoutingTable
+
+
+class LeavesListed(NamedTuple):
+    """The registry was read as a whole."""
+
+    entries: tuple[LeafEntry, ...]
+
+
+class LeafChanged(NamedTuple):
+    """An entry of the registry is new or has changed."""
+
+    entry: LeafEntry
+
+
+class LeafRemoved(NamedTuple):
+    """An entry of the registry is gone."""
+
+    leaf: str
+
+
+class DomainMarked(NamedTuple):
+    """A failure domain was taken out, or is in again; out: its leaves are to get nothing new."""
+
+    domain: str
+    out: bool
+
+
+class DomainsListed(NamedTuple):
+    """All failure domains that are taken out."""
+
+    domains: frozenset[str]
+
+
+class MemberMarked(NamedTuple):
+    """A node has registered itself, or its entry is gone."""
+
+    node: str
+    present: bool
+
+
+class MembersListed(NamedTuple):
+    """All nodes that are registered."""
+
+    nodes: tuple[str, ...]
+
+
+class RecordRejected(NamedTuple):
+    """A record in the store can't be read."""
+
+    key: str
+    reason: str
+
+
+class StoreLost(NamedTuple):
+    """The store can't be read."""
+
+    reason: str
+
+
+class StoreBack(NamedTuple):
+    """The store can be read again."""
+
+
+class StopAsked(NamedTuple):
+    """The process is to end within `grace_s`."""
+
+    grace_s: float
+
+
+class Tick(NamedTuple):
+    """Some timer may be due."""
+
+
+Event: TypeAlias = (
+    RequestArrived
+    | CallerGone
+    | CallLeft
+    | CallEnded
+    | Connected
+    | ProbeEnded
+    | TableSeen
+    | LeavesListed
+    | LeafChanged
+    | LeafRemoved
+    | DomainMarked
+    | DomainsListed
+    | MemberMarked
+    | MembersListed
+    | RecordRejected
+    | StoreLost
+    | StoreBack
+    | StopAsked
+    | Tick
+)
--- /dev/null
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/reduce.py
@@ -0,0 +1,242 @@
+"""The node's one reducer."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+from cactussaddle_core.codes import ResultCode
+from cactussaddle_core.edge import events as ev
+from cactussaddle_core.edge.effects import CloseIdle
+from cactussaddle_core.edge.effects import EndProcess
+from cactussaddle_core.edge.effects import KeepConnections
+from cactussaddle_core.edge.effects import Note
+from cactussaddle_core.edge.state import HOUSEKEEPING_S
+from cactussaddle_core.fanout import reduce as fanout
+from cactussaddle_core.fanout.model import Declined
+from cactussaddle_core.fanout.model import ProbeLeaf
+from cactussaddle_core.fleet.probing import due_probes
+from cactussaddle_core.fleet.probing import probe_ended
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from cactussaddle_core.edge.effects import Effect
+    from cactussaddle_core.edge.state import EdgeState
+
+# When a caller of a node that is not ready may try again; it is likely to reach another node.
+NOT_READY_RETRY_S = 0.2
+
+
+def reduce(state: EdgeState, event: ev.Event, now: float) -> list[Effect]:
+    """Take in one event; return what is to be done."""
+    return _HANDLERS[type(event)](state, event, now)
+
+
+def _request_arrived(state: EdgeState, event: ev.RequestArrived, now: float) -> list[Effect]:
+    request = event.request
+    table = state.tables.table
+    if table is None or not state.fleet.loaded:
+        return [_decline(request.req_id, ResultCode.NOT_CONFIGURED, "not loaded yet")]
+    path = request.target.split(b"?", 1)[0].decode("latin-1")
+    route = table.find(request.host, path)
+    if route is None:
+        return [_decline(request.req_id, ResultCode.UNKNOWN_ROUTE, "no such route")]
+    services = route.shards or (state.splits.choose(route),)
+    return [*fanout.begin(state.fanout, request, route, services, table.version, now)]
+
+
+def _decline(req_id: int, code: ResultCode, message: str) -> Declined:
+    retry_after_s = 0.0 if code is ResultCode.UNKNOWN_ROUTE else NOT_READY_RETRY_S
+    return Declined(req_id, code, message, False, retry_after_s)
+
+
+def _caller_gone(state: EdgeState, event: ev.CallerGone, now: float) -> list[Effect]:
+    return [*fanout.caller_gone(state.fanout, event.req_id)]
+
+
+def _call_left(state: EdgeState, event: ev.CallLeft, now: float) -> list[Effect]:
+    fanout.call_left(state.fanout, event.call_id)
+    return []
+
+
+def _call_ended(state: EdgeState, event: ev.CallEnded, now: float) -> list[Effect]:
+    return [*fanout.call_ended(state.fanout, event.end, now)]
+
+
+def _connected(state: EdgeState, event: ev.Connected, now: float) -> list[Effect]:
+    leaf = state.fleet.leaves.get(event.leaf)
+    if leaf is not None:
+        state.fanout.timings.connected(leaf, event.took_s)
+    return []
+
+
+def _probe_ended(state: EdgeState, event: ev.ProbeEnded, now: float) -> list[Effect]:
+    leaf = state.fleet.leaves.get(event.leaf)
+    before = leaf.standing if leaf is not None else None
+    probe_ended(state.fleet, event.leaf, event.health, now)
+    if leaf is None or leaf.standing is before:
+        return []
+    return [Note("leaf_standing", {"leaf": leaf.name, "standing": leaf.standing.value})]
+
+
+def _table_seen(state: EdgeState, event: ev.TableSeen, now: float) -> list[Effect]:
+    if not state.tables.offer(event.table):
+        return []
+    note = Note("table", {"version": event.table.version, "routes": len(event.table.routes)})
+    return [note, *_keep_connections(state)]
+
+
+def _leaves_listed(state: EdgeState, event: ev.LeavesListed, now: float) -> list[Effect]:
+    state.fleet.listed(event.entries, now)
+    state.fleet.sweep(now)
+    note = Note("leaves_listed", {"leaves": len(event.entries)})
+    return [note, *_keep_connections(state)]
+
+
+def _leaf_changed(state: EdgeState, event: ev.LeafChanged, now: float) -> list[Effect]:
+    entry = event.entry
+    state.fleet.changed(entry, now)
+    fields = {
+        "leaf": entry.leaf,
+        "service": entry.service,
+        "domain": entry.domain,
+        "draining": entry.draining,
+        "cold_left_s": entry.cold_left_s,
+    }
+    return [Note("leaf", fields), *_keep_connections(state)]
+
+
+def _leaf_removed(state: EdgeState, event: ev.LeafRemoved, now: float) -> list[Effect]:
+    state.fleet.removed(event.leaf, now)
+    note = Note("leaf_removed", {"leaf": event.leaf})
+    return [note, *_sweep(state, now)]
+
+
+def _domain_marked(state: EdgeState, event: ev.DomainMarked, now: float) -> list[Effect]:
+    domains = set(state.fleet.domains_out)
+    if event.out:
+        domains.add(event.domain)
+    else:
+        domains.discard(event.domain)
+    return _set_domains_out(state, frozenset(domains))
+
+
+def _domains_listed(state: EdgeState, event: ev.DomainsListed, now: float) -> list[Effect]:
+    return _set_domains_out(state, event.domains)
+
+
+def _set_domains_out(state: EdgeState, domains: frozenset[str]) -> list[Effect]:
+    if domains == state.fleet.domains_out:
+        return []
+    state.fleet.domains_out = domains
+    return [Note("domains_out", {"domains": sorted(domains)})]
+
+
+def _member_marked(state: EdgeState, event: ev.MemberMarked, now: float) -> list[Effect]:
+    nodes = set(state.members)
+    if event.present:
+        nodes.add(event.node)
+    else:
+        nodes.discard(event.node)
+    return _set_members(state, tuple(sorted(nodes)))
+
+
+def _members_listed(state: EdgeState, event: ev.MembersListed, now: float) -> list[Effect]:
+    return _set_members(state, event.nodes)
+
+
+def _set_members(state: EdgeState, nodes: tuple[str, ...]) -> list[Effect]:
+    if nodes == state.members:
+        return []
+    state.members = nodes
+    state.budget.nodes = state.member_count()
+    return [Note("members", {"nodes": len(nodes)}), *_keep_connections(state)]
+
+
+def _record_rejected(state: EdgeState, event: ev.RecordRejected, now: float) -> list[Effect]:
+    return [Note("record_rejected", {"key": event.key, "reason": event.reason})]
+
+
+def _store_lost(state: EdgeState, event: ev.StoreLost, now: float) -> list[Effect]:
+    state.fleet.store_lost(now)
+    if not state.store_up:
+        return []
+    state.store_up = False
+    return [Note("store_lost", {"reason": event.reason})]
+
+
+def _store_back(state: EdgeState, event: ev.StoreBack, now: float) -> list[Effect]:
+    state.fleet.store_back(now)
+    if state.store_up:
+        return []
+    state.store_up = True
+    return [Note("store_back", {})]
+
+
+def _stop_asked(state: EdgeState, event: ev.StopAsked, now: float) -> list[Effect]:
+    state.stopping.ask(event.grace_s, now)
+    return [Note("stop_asked", {"requests": len(state.fanout.queries)})]
+
+
+def _tick(state: EdgeState, event: ev.Tick, now: float) -> list[Effect]:
+    effects: list[Effect] = [*fanout.tick(state.fanout, now)]
+    if now < state.housekeeping_at:
+        return effects
+    state.housekeeping_at = now + HOUSEKEEPING_S
+    effects += _sweep(state, now)
+    effects += [ProbeLeaf(leaf) for leaf in due_probes(state.fleet, now)]
+    return effects + _go_on_stopping(state, now)
+
+
+def _sweep(state: EdgeState, now: float) -> list[Effect]:
+    dropped = state.fleet.sweep(now)
+    if not dropped:
+        return []
+    return [Note("leaves_dropped", {"leaves": [leaf.name for leaf in dropped]})] + [
+        *_keep_connections(state)
+    ]
+
+
+def _go_on_stopping(state: EdgeState, now: float) -> list[Effect]:
+    if not state.stopping.closing(now):
+        return []
+    if state.stopping.may_end(len(state.fanout.queries), now):
+        return [EndProcess()]
+    return [CloseIdle()]
+
+
+def _keep_connections(state: EdgeState) -> list[Effect]:
+    table = state.tables.table
+    if table is None:
+        return []
+    used = table.services_in_use()
+    kept = tuple(
+        (leaf, state.connections_to(leaf))
+        for leaf in state.fleet.leaves.values()
+        if leaf.entry.service in used
+    )
+    return [KeepConnections(kept)]
+
+
+_HANDLERS: dict[type[Any], Callable[[EdgeState, Any, float], list[Effect]]] = {
+    ev.RequestArrived: _request_arrived,
+    ev.CallerGone: _caller_gone,
+    ev.CallLeft: _call_left,
+    ev.CallEnded: _call_ended,
+    ev.Connected: _connected,
+    ev.ProbeEnded: _probe_ended,
+    ev.TableSeen: _table_seen,
+    ev.LeavesListed: _leaves_listed,
+    ev.LeafChanged: _leaf_changed,
+    ev.LeafRemoved: _leaf_removed,
+    ev.DomainMarked: _domain_marked,
+    ev.DomainsListed: _domains_listed,
+    ev.MemberMarked: _member_marked,
+    ev.MembersListed: _members_listed,
+    ev.RecordRejected: _record_rejected,
+    ev.StoreLost: _store_lost,
+    ev.StoreBack: _store_back,
+    ev.StopAsked: _stop_asked,
+    ev.Tick: _tick,
+}
--- /dev/null
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/state.py
@@ -0,0 +1,98 @@
+"""The state of one node."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from cactussaddle_core.edge.stopping import Stopping
+from cactussaddle_core.fanout.state import FanoutBook
+from cactussaddle_core.fleet.book import Fleet
+from cactussaddle_core.limits.budget import RetryBudget
+from cactussaddle_core.limits.cold import calls_per_second
+from cactussaddle_core.routing.split import SplitBook
+from cactussaddle_core.routing.table import TableBook
+
+if TYPE_CHECKING:
+    from cactussaddle_core.fleet.leaf import Leaf
+    from cactussaddle_core.limits.budget import BudgetRules
+    from cactussaddle_core.limits.cold import ColdRules
+
+# Nodes assumed until the members are known: too many make the shares small, not wrong.
+UNKNOWN_MEMBERS = 16
+HOUSEKEEPING_S = 0.1
+
+
+class EdgeIdentity(NamedTuple):
+    """Who this node is; `region_of` maps each failure domain to its region."""
+
+    node: str
+    domain: str
+    region_of: dict[str, str]
+
+
+class EdgeRules(NamedTuple):
+    """The bounds that all nodes keep together."""
+
+    budget: BudgetRules
+    cold: ColdRules
+
+
+class EdgeState:
+    """Everything one node knows and does."""
+
+    def __init__(self, *, me: EdgeIdentity, rules: EdgeRules, seed: int) -> None:
+        self.me = me
+        self.rules = rules
+        self.tables = TableBook()
+        self.splits = SplitBook()
+        self.fleet = Fleet()
+        self.members: tuple[str, ...] = ()
+        self.store_up = False
+        self.stopping = Stopping()
+        self.housekeeping_at = 0.0
+        self.budget = RetryBudget(rules=rules.budget, nodes=UNKNOWN_MEMBERS)
+        self.fanout = FanoutBook(
+            fleet=self.fleet,
+            budget=self.budget,
+            may_call=self.may_call,
+            own_domain=me.domain,
+            region_of=me.region_of,
+            seed=seed,
+        )
+
+    def may_call(self, leaf: Leaf, now: float) -> bool:
+        """Return whether a new call may go to a leaf."""
+        if not self.fleet.may_get_calls(leaf, now):
+            return False
+        return not leaf.is_cold(now) or self._may_warm(leaf, now)
+
+    def is_ready(self) -> bool:
+        """Return whether the balancer should send callers here."""
+        loaded = self.tables.table is not None and self.fleet.loaded
+        return loaded and not self.stopping.asked
+
+    def next_due(self) -> float:
+        """Return when the next tick is due."""
+        return min(self.housekeeping_at, self.fanout.next_due())
+
+    def connections_to(self, leaf: Leaf) -> int:
+        """Return how many connections this node may have to a leaf."""
+        table = self.tables.table
+        spec = table.services.get(leaf.entry.service) if table is not None else None
+        if spec is None:
+            return 1
+        return max(1, spec.max_connections // self.member_count())
+
+    def member_count(self) -> int:
+        """Return by how many nodes the common bounds are divided."""
+        return len(self.members) or UNKNOWN_MEMBERS
+
+    def _may_warm(self, leaf: Leaf, now: float) -> bool:
+        table = self.tables.table
+        spec = table.services.get(leaf.entry.service) if table is not None else None
+        if spec is None or spec.cold_rate <= 0.0:
+            return True
+        members = self.members or (self.me.node,)
+        most = calls_per_second(self.rules.cold, spec.cold_rate, leaf.name, self.me.node, members)
+        return leaf.cold_meter.count(now) < most
--- /dev/null
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/reduce.py
@@ -0,0 +1,227 @@
+"""The fan-out reducer: a request's start, the ends of its calls, and its reviews."""
+
+from __future__ import annotations
+
+import math
+
+from typing import TYPE_CHECKING
+
+from cactussaddle_core.codes import ResultCode
+from cactussaddle_core.fanout.choose import is_servable
+from cactussaddle_core.fanout.finish import RETRY_AFTER_S
+from cactussaddle_core.fanout.finish import decline
+from cactussaddle_core.fanout.finish import finish_if_settled
+from cactussaddle_core.fanout.model import NEVER_ARRIVED
+from cactussaddle_core.fanout.model import NOT_RUN
+from cactussaddle_core.fanout.model import CallEnding
+from cactussaddle_core.fanout.model import Declined
+from cactussaddle_core.fanout.sending import can_hedge
+from cactussaddle_core.fanout.sending import count_back
+from cactussaddle_core.fanout.sending import end_all
+from cactussaddle_core.fanout.sending import end_others
+from cactussaddle_core.fanout.sending import end_unsent
+from cactussaddle_core.fanout.sending import send
+from cactussaddle_core.fanout.sending import send_to
+from cactussaddle_core.fanout.state import Part
+from cactussaddle_core.fanout.state import Query
+from cactussaddle_core.fleet.model import Standing
+
+if TYPE_CHECKING:
+    from cactussaddle_core.fanout.model import CallEnd
+    from cactussaddle_core.fanout.model import CallerRequest
+    from cactussaddle_core.fanout.model import FanoutEffect
+    from cactussaddle_core.fanout.state import Call
+    from cactussaddle_core.fanout.state import FanoutBook
+    from cactussaddle_core.routing.model import Route
+
+# What an answer takes from this node to the caller, and what the caller's clock may be off.
+ANSWER_SPARE_S = 0.012
+# A query ends this long before its caller gives up.
+DEADLINE_SPARE_S = 0.02
+# Extra calls that hedges leave to retries of calls that failed.
+HEDGE_RESERVE = 1.0
+# How long a refused part waits before it asks the same leaves again; doubled each time.
+REFUSED_WAIT_S = 0.03
+MAX_REFUSED_WAITS = 4
+
+
+def begin(
+    book: FanoutBook,
+    request: CallerRequest,
+    route: Route,
+    services: tuple[str, ...],
+    table_version: int,
+    now: float,
+) -> list[FanoutEffect]:
+    """Start a query on one leaf of each of the services."""
+    deadline = now + min(request.patience_s, route.timeout_s) - DEADLINE_SPARE_S
+    answer_by = min(deadline, now + route.objective_s - ANSWER_SPARE_S)
+    query = Query(
+        request=request,
+        route=route,
+        table_version=table_version,
+        now=now,
+        answer_by=answer_by,
+        deadline=deadline,
+    )
+    query.parts = [Part(query=query, service=service) for service in services]
+    for service in services:
+        book.budget.request(service, now)
+    if deadline <= now:
+        message = "the caller's time is over"
+        return [Declined(request.req_id, ResultCode.NOT_RUN, message, False, 0.0, query)]
+    servable = sum(1 for part in query.parts if is_servable(book, part, now))
+    if servable < query.needed():
+        message = f"{servable} of {len(query.parts)} services can be asked"
+        code = ResultCode.NOT_RUN
+        return [Declined(request.req_id, code, message, False, RETRY_AFTER_S, query)]
+    book.queries[request.req_id] = query
+    effects: list[FanoutEffect] = []
+    for part in query.parts:
+        effects += send(book, part, "first", now)
+    book.review_at(query, answer_by)
+    book.review_at(query, deadline)
+    return effects + finish_if_settled(book, query, now)
+
+
+def call_left(book: FanoutBook, call_id: int) -> None:
+    """Take in that a call's request is on its way to the leaf."""
+    call = book.calls.get(call_id)
+    if call is not None:
+        call.left = True
+
+
+def call_ended(book: FanoutBook, end: CallEnd, now: float) -> list[FanoutEffect]:
+    """Take in the end of a call."""
+    call = book.calls.pop(end.call_id, None)
+    if call is None:
+        return []
+    call.ended_at = now
+    call.ending = end.ending
+    _judge_leaf(book, call, end, now)
+    if call.abandoned:
+        return []
+    part = call.part
+    part.open_calls.remove(call)
+    if end.ending is CallEnding.ANSWERED and _is_new(part, end):
+        part.reply = end.reply
+        return end_others(part) + finish_if_settled(book, part.query, now)
+    if end.ending in NOT_RUN:
+        count_back(book, call, now, arrived=end.ending not in NEVER_ARRIVED)
+    if end.ending is CallEnding.FAILED:
+        part.failure = end.reply
+    effects = _retry(book, part, end, now)
+    return effects + finish_if_settled(book, part.query, now)
+
+
+def caller_gone(book: FanoutBook, req_id: int) -> list[FanoutEffect]:
+    """Drop the query of a caller that has gone, so that its leaves stop."""
+    query = book.queries.pop(req_id, None)
+    return [] if query is None else end_all(query, 0.0)
+
+
+def tick(book: FanoutBook, now: float) -> list[FanoutEffect]:
+    """Review the queries that are due."""
+    effects: list[FanoutEffect] = []
+    while (query := book.pop_due(now)) is not None:
+        effects += _review(book, query, now)
+    return effects
+
+
+def _review(book: FanoutBook, query: Query, now: float) -> list[FanoutEffect]:
+    if now >= query.deadline:
+        if query.answered() >= query.needed():
+            return finish_if_settled(book, query, now)
+        return decline(book, query, "the time is over", now)
+    effects: list[FanoutEffect] = []
+    for part in query.parts:
+        if part.reply is not None:
+            continue
+        if now >= part.retry_at:
+            effects += _ask_again(book, part, now)
+        elif now >= part.hedge_at:
+            effects += _hedge(book, part, now)
+    effects += finish_if_settled(book, query, now)
+    if query.request.req_id in book.queries:
+        _plan_review(book, query, now)
+    return effects
+
+
+def _plan_review(book: FanoutBook, query: Query, now: float) -> None:
+    due = query.answer_by if now < query.answer_by else query.deadline
+    for part in query.parts:
+        if part.reply is None:
+            due = min(due, part.hedge_at, part.retry_at)
+    book.review_at(query, due)
+
+
+def _hedge(book: FanoutBook, part: Part, now: float) -> list[FanoutEffect]:
+    part.hedge_at = math.inf
+    effects = end_unsent(book, part, now)
+    if part.open_calls and not can_hedge(part):
+        return effects
+    return effects + send(book, part, "hedge", now, reserve=HEDGE_RESERVE)
+
+
+def _retry(book: FanoutBook, part: Part, end: CallEnd, now: float) -> list[FanoutEffect]:
+    """Send a part whose call has failed to another leaf, at once or after a short wait."""
+    effects = send(book, part, f"retry: {end.ending.value}", now)
+    if effects or part.open_calls or end.ending is not CallEnding.REFUSED:
+        return effects
+    if part.refusals < MAX_REFUSED_WAITS:
+        part.refusals += 1
+        part.retry_at = now + REFUSED_WAIT_S * 2.0**part.refusals
+        book.review_at(part.query, part.retry_at)
+    return effects
+
+
+def _ask_again(book: FanoutBook, part: Part, now: float) -> list[FanoutEffect]:
+    """Send a part that every leaf has refused to the one that refused it first."""
+    part.retry_at = math.inf
+    effects = send(book, part, "retry: refused", now)
+    if effects:
+        return effects
+    refused = [call for call in part.calls if call.ending is CallEnding.REFUSED]
+    for call in sorted(refused, key=lambda call: call.ended_at):
+        if book.may_call(call.leaf, now):
+            return send_to(book, part, call.leaf, "retry: refused", now)
+    return []
+
+
+def _is_new(part: Part, end: CallEnd) -> bool:
+    """Return whether an answer is not one that another part has given already."""
+    if not part.query.gathers:
+        return True
+    reply = end.reply
+    others = (other.reply for other in part.query.parts)
+    return reply is not None and all(
+        other is None or other.signature != reply.signature for other in others
+    )
+
+
+def _judge_leaf(book: FanoutBook, call: Call, end: CallEnd, now: float) -> None:
+    """Take in what a call's end says of its leaf."""
+    leaf = call.leaf
+    route = call.part.query.route
+    elapsed_s = now - call.sent_at
+    overdue_at = leaf.waiting.pop(call.call_id, math.inf)
+    if end.load is not None:
+        leaf.load = end.load
+        leaf.load_at = now
+    if end.ending is CallEnding.ANSWERED:
+        leaf.answered(now)
+        leaf.saw_fault(False, now)
+        leaf.saw_slowness(book.timings.took(route, leaf, elapsed_s), now)
+    elif end.ending in (CallEnding.REFUSED, CallEnding.FAILED):
+        if end.wrong_leaf:
+            leaf.suspect(Standing.DOWN, now)
+        else:
+            leaf.answered(now)
+        leaf.saw_fault(True, now)
+    elif end.ending is CallEnding.BROKEN:
+        leaf.saw_fault(True, now)
+    elif end.ending is CallEnding.NOT_SENT:
+        leaf.suspect(Standing.DOWN, now)
+    elif end.ending is CallEnding.CANCELLED and now >= overdue_at:
+        leaf.suspect(Standing.SUSPECT if call.left else Standing.DOWN, now)
+        leaf.saw_slowness(elapsed_s / book.timings.usual_s(route), now)
--- /dev/null
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/sending.py
@@ -0,0 +1,131 @@
+"""Sending of calls within the limits on runs and on extra calls."""
+
+from __future__ import annotations
+
+import math
+
+from typing import TYPE_CHECKING
+
+from cactussaddle_core.fanout.choose import choose
+from cactussaddle_core.fanout.model import EndCall
+from cactussaddle_core.fanout.model import SendCall
+from cactussaddle_core.fanout.state import Call
+from cactussaddle_core.invariants import Promise
+from cactussaddle_core.invariants import require
+
+if TYPE_CHECKING:
+    from cactussaddle_core.fanout.model import FanoutEffect
+    from cactussaddle_core.fanout.state import FanoutBook
+    from cactussaddle_core.fanout.state import Part
+    from cactussaddle_core.fanout.state import Query
+    from cactussaddle_core.fleet.leaf import Leaf
+
+# How long a call that lost is awaited: its answer tells that the leaf is well again and keeps the
+# connection.
+LINGER_S = 0.45
+# A hedge that could not be answered in time any more is of no use.
+HEDGE_SPARE = 1.3
+
+
+def send(
+    book: FanoutBook, part: Part, reason: str, now: float, *, reserve: float = 0.0
+) -> list[FanoutEffect]:
+    """Send the part to the best leaf left; nothing when the limits or the leaves forbid it."""
+    if part.runs >= _most_runs(part):
+        return []
+    leaf = choose(book, part, now)
+    if leaf is None:
+        return []
+    return send_to(book, part, leaf, reason, now, reserve=reserve)
+
+
+def send_to(
+    book: FanoutBook, part: Part, leaf: Leaf, reason: str, now: float, *, reserve: float = 0.0
+) -> list[FanoutEffect]:
+    """Send the part to `leaf` unless the retry budget forbids it."""
+    extra = part.arrivals > 0
+    if extra and not book.budget.take(part.service, now, reserve=reserve):
+        return []
+    call = Call(
+        call_id=book.next_call_id(), part=part, leaf=leaf, reason=reason, extra=extra, now=now
+    )
+    part.runs += 1
+    part.arrivals += 1
+    require(
+        part.query.route.idempotent or part.runs <= 1,
+        Promise.AT_MOST_ONCE,
+        f"request {part.query.request.request_id} sent to {part.runs} leaves",
+    )
+    part.calls.append(call)
+    part.open_calls.append(call)
+    book.calls[call.call_id] = call
+    overdue_at = now + book.timings.overdue_s(part.query.route, leaf)
+    leaf.waiting[call.call_id] = overdue_at
+    if leaf.is_cold(now):
+        leaf.cold_meter.sent(now)
+    part.hedge_at = _hedge_at(book, part, overdue_at, now)
+    part.retry_at = math.inf
+    book.review_at(part.query, part.hedge_at)
+    return [SendCall(call)]
+
+
+def end_others(part: Part) -> list[FanoutEffect]:
+    """End the calls of a part that has its answer."""
+    losers = part.open_calls
+    part.open_calls = []
+    return [_abandon(call, LINGER_S) for call in losers]
+
+
+def end_all(query: Query, linger_s: float) -> list[FanoutEffect]:
+    """End all calls of a query."""
+    effects: list[FanoutEffect] = []
+    for part in query.parts:
+        effects += [_abandon(call, linger_s) for call in part.open_calls]
+        part.open_calls = []
+    return effects
+
+
+def end_unsent(book: FanoutBook, part: Part, now: float) -> list[FanoutEffect]:
+    """End the calls that still wait for a connection; they have neither run nor arrived."""
+    unsent = [call for call in part.open_calls if not call.left]
+    for call in unsent:
+        part.open_calls.remove(call)
+        count_back(book, call, now, arrived=False)
+    return [_abandon(call, 0.0) for call in unsent]
+
+
+def count_back(book: FanoutBook, call: Call, now: float, *, arrived: bool) -> None:
+    """Take a call that has not run out of its part's counts."""
+    part = call.part
+    part.runs -= 1
+    if arrived:
+        return
+    part.arrivals -= 1
+    if call.extra:
+        book.budget.give_back(part.service, now)
+
+
+def can_hedge(part: Part) -> bool:
+    """Return whether one more call of the part may run beside those under way."""
+    return part.query.route.idempotent and part.runs < _most_runs(part)
+
+
+def _abandon(call: Call, linger_s: float) -> EndCall:
+    call.abandoned = True
+    return EndCall(call, linger_s)
+
+
+def _most_runs(part: Part) -> int:
+    return max(1, part.query.route.max_leaves) if part.query.route.idempotent else 1
+
+
+def _hedge_at(book: FanoutBook, part: Part, overdue_at: float, now: float) -> float:
+    """Return when to hedge: once the call is overdue, but while a hedge can still be in time."""
+    query = part.query
+    if not can_hedge(part):
+        return math.inf
+    usual_s = book.timings.usual_s(query.route)
+    latest = query.answer_by - HEDGE_SPARE * (usual_s + book.timings.worst_trip_s())
+    if latest > now + usual_s:
+        return min(overdue_at, latest)
+    return overdue_at
--- /dev/null
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/state.py
@@ -0,0 +1,205 @@
+"""State of the fan-out: queries, their parts and the calls under way."""
+
+from __future__ import annotations
+
+import heapq
+import math
+import random
+
+from typing import TYPE_CHECKING
+
+from cactussaddle_core.fanout.timing import RouteTimings
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Mapping
+
+    from cactussaddle_core.fanout.model import CallEnding
+    from cactussaddle_core.fanout.model import CallerRequest
+    from cactussaddle_core.fanout.model import LeafReply
+    from cactussaddle_core.fleet.book import Fleet
+    from cactussaddle_core.fleet.leaf import Leaf
+    from cactussaddle_core.limits.budget import RetryBudget
+    from cactussaddle_core.routing.model import Route
+
+
+class Call:
+    """One call of a part at one leaf.
+
+    `extra` says that the retry budget paid for it, `left` that its request is on its way, and
+    `reason` why it was made.
+    """
+
+    __slots__ = (
+        "abandoned",
+        "call_id",
+        "ended_at",
+        "ending",
+        "extra",
+        "leaf",
+        "left",
+        "part",
+        "reason",
+        "sent_at",
+    )
+
+    def __init__(
+        self, *, call_id: int, part: Part, leaf: Leaf, reason: str, extra: bool, now: float
+    ) -> None:
+        self.call_id = call_id
+        self.part = part
+        self.leaf = leaf
+        self.reason = reason
+        self.extra = extra
+        self.left = False
+        self.abandoned = False
+        self.sent_at = now
+        self.ended_at = math.nan
+        self.ending: CallEnding | None = None
+
+
+class Part:
+    """One service's share of a query.
+
+    `runs` counts the calls that may have run at a leaf, `arrivals` those that may have reached one.
+    `failure` is the last answer of a leaf that was no success.
+    """
+
+    __slots__ = (
+        "arrivals",
+        "calls",
+        "failure",
+        "hedge_at",
+        "open_calls",
+        "query",
+        "refusals",
+        "reply",
+        "retry_at",
+        "runs",
+        "service",
+    )
+
+    def __init__(self, *, query: Query, service: str) -> None:
+        self.query = query
+        self.service = service
+        self.calls: list[Call] = []
+        self.open_calls: list[Call] = []
+        self.runs = 0
+        self.arrivals = 0
+        self.refusals = 0
+        self.reply: LeafReply | None = None
+        self.failure: LeafReply | None = None
+        self.hedge_at = math.inf
+        self.retry_at = math.inf
+
+    def is_waiting(self) -> bool:
+        """Return whether anything may still bring an answer."""
+        return bool(self.open_calls) or math.isfinite(self.retry_at)
+
+
+class Query:
+    """A caller's request under way; times are of this node's steady clock.
+
+    `answer_by` is when an incomplete answer is better than a late one, `deadline` when the query
+    ends whatever has come.
+    """
+
+    __slots__ = (
+        "answer_by",
+        "deadline",
+        "parts",
+        "request",
+        "review_at",
+        "route",
+        "started_at",
+        "table_version",
+    )
+
+    def __init__(
+        self,
+        *,
+        request: CallerRequest,
+        route: Route,
+        table_version: int,
+        now: float,
+        answer_by: float,
+        deadline: float,
+    ) -> None:
+        self.request = request
+        self.route = route
+        self.table_version = table_version
+        self.started_at = now
+        self.answer_by = answer_by
+        self.deadline = deadline
+        self.review_at = math.inf
+        self.parts: list[Part] = []
+
+    @property
+    def gathers(self) -> bool:
+        """Whether the answer is merged from several services."""
+        return bool(self.route.shards)
+
+    def answered(self) -> int:
+        """Return how many parts have their answer."""
+        return sum(1 for part in self.parts if part.reply is not None)
+
+    def needed(self) -> int:
+        """Return how many parts an answer needs at least."""
+        if not self.gathers:
+            return 1
+        return max(1, math.ceil(self.route.least * len(self.parts) - 1e-9))
+
+    def may_have_run(self) -> bool:
+        """Return whether any leaf may have run the request."""
+        return any(part.runs > 0 for part in self.parts)
+
+
+class FanoutBook:
+    """All queries under way on one node."""
+
+    def __init__(
+        self,
+        *,
+        fleet: Fleet,
+        budget: RetryBudget,
+        may_call: Callable[[Leaf, float], bool],
+        own_domain: str,
+        region_of: Mapping[str, str],
+        seed: int,
+    ) -> None:
+        self.fleet = fleet
+        self.budget = budget
+        self.may_call = may_call
+        self.own_domain = own_domain
+        self.region_of = region_of
+        self.timings = RouteTimings(own_domain=own_domain)
+        self.rng = random.Random(seed)
+        self.queries: dict[int, Query] = {}
+        self.calls: dict[int, Call] = {}
+        self._timers: list[tuple[float, int]] = []
+        self._next_call_id = 0
+
+    def next_call_id(self) -> int:
+        """Return an id that no other call of this process has."""
+        self._next_call_id += 1
+        return self._next_call_id
+
+    def review_at(self, query: Query, due: float) -> None:
+        """Ask for a review of a query at `due`, or earlier where one is asked for already."""
+        if due < query.review_at:
+            query.review_at = due
+            heapq.heappush(self._timers, (due, query.request.req_id))
+
+    def next_due(self) -> float:
+        """Return when the next review is due."""
+        return self._timers[0][0] if self._timers else math.inf
+
+    def pop_due(self, now: float) -> Query | None:
+        """Return a query whose review is due, or None."""
+        while self._timers and self._timers[0][0] <= now:
+            due, req_id = heapq.heappop(self._timers)
+            query = self.queries.get(req_id)
+            if query is not None and query.review_at == due:
+                query.review_at = math.inf
+                return query
+        return None
--- /dev/null
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fleet/book.py
@@ -0,0 +1,120 @@
+"""The book of all leaves, kept from the registry's listings and changes.
+
+While the store is out nothing leaves the book. Entries may lapse meanwhile, so after its return a
+leaf that is missing is dropped only once it has had the time to register again.
+"""
+
+from __future__ import annotations
+
+import math
+
+from typing import TYPE_CHECKING
+
+from cactussaddle_core.fleet.leaf import Leaf
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from cactussaddle_core.fleet.model import LeafEntry
+
+# Entries that lapsed during an outage are back about two seconds after it.
+REJOIN_S = 2.3
+# An entry removed this soon after an outage may have lapsed in it.
+OUTAGE_ECHO_S = 3.0
+
+
+class Fleet:
+    """All leaves by id and by service; `domains_out` are closed for new calls."""
+
+    def __init__(self) -> None:
+        self.leaves: dict[str, Leaf] = {}
+        self.by_service: dict[str, list[Leaf]] = {}
+        self.domains_out: frozenset[str] = frozenset()
+        self.loaded = False
+        self._store_back_at = -math.inf
+        self._store_out = False
+
+    def of(self, service: str) -> list[Leaf]:
+        """Return the leaves of a service, those to be dropped soon included."""
+        return self.by_service.get(service, [])
+
+    def store_lost(self, now: float) -> None:
+        """Take in that the registry can't be read."""
+        self._store_out = True
+
+    def store_back(self, now: float) -> None:
+        """Take in that the registry can be read again."""
+        if self._store_out:
+            self._store_out = False
+            self._store_back_at = now
+
+    def listed(self, entries: Iterable[LeafEntry], now: float) -> None:
+        """Take in a complete listing."""
+        found = {entry.leaf: entry for entry in entries}
+        for entry in found.values():
+            self.changed(entry, now)
+        for name in [name for name in self.leaves if name not in found]:
+            self.removed(name, now)
+        self.loaded = True
+
+    def changed(self, entry: LeafEntry, now: float) -> None:
+        """Take in one entry, new or changed."""
+        leaf = self.leaves.get(entry.leaf)
+        if leaf is not None and _is_older(entry, leaf.entry):
+            return
+        if leaf is None or _restarted(leaf.entry, entry):
+            self._put(Leaf(entry=entry, now=now))
+            return
+        if entry.cold_left_s != leaf.entry.cold_left_s:
+            leaf.grew_cold(entry.cold_left_s, now)
+        leaf.entry = entry
+        leaf.listed = True
+        leaf.unlisted_at = math.inf
+
+    def removed(self, name: str, now: float) -> None:
+        """Take in that an entry is gone."""
+        leaf = self.leaves.get(name)
+        if leaf is None or not leaf.listed:
+            return
+        leaf.listed = False
+        after_outage = self._store_out or now - self._store_back_at < OUTAGE_ECHO_S
+        if after_outage and not leaf.entry.draining:
+            leaf.unlisted_at = max(now, self._store_back_at + REJOIN_S)
+        else:
+            leaf.unlisted_at = now
+
+    def sweep(self, now: float) -> list[Leaf]:
+        """Drop the leaves whose time to register again is over; return them."""
+        dropped = [leaf for leaf in self.leaves.values() if now >= leaf.unlisted_at]
+        for leaf in dropped:
+            del self.leaves[leaf.name]
+            self.by_service[leaf.entry.service].remove(leaf)
+        return dropped
+
+    def next_sweep(self) -> float:
+        """Return when the next leaf is to be dropped."""
+        return min((leaf.unlisted_at for leaf in self.leaves.values()), default=math.inf)
+
+    def may_get_calls(self, leaf: Leaf, now: float) -> bool:
+        """Return whether the operators and the registry let new calls go to a leaf."""
+        if leaf.entry.draining or now >= leaf.unlisted_at:
+            return False
+        return leaf.entry.domain not in self.domains_out
+
+    def _put(self, leaf: Leaf) -> None:
+        before = self.leaves.get(leaf.name)
+        if before is not None:
+            self.by_service[before.entry.service].remove(before)
+        self.leaves[leaf.name] = leaf
+        self.by_service.setdefault(leaf.entry.service, []).append(leaf)
+
+
+def _is_older(entry: LeafEntry, known: LeafEntry) -> bool:
+    if entry.born_ms != known.born_ms:
+        return entry.born_ms < known.born_ms
+    return entry.sequence < known.sequence
+
+
+def _restarted(before: LeafEntry, after: LeafEntry) -> bool:
+    moved = (before.host, before.port, before.service) != (after.host, after.port, after.service)
+    return moved or after.born_ms != before.born_ms
--- /dev/null
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fleet/probing.py
@@ -0,0 +1,52 @@
+"""Health probes of leaves that are avoided, to find out when they are well again."""
+
+from __future__ import annotations
+
+import math
+
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from cactussaddle_core.fleet.model import Standing
+
+if TYPE_CHECKING:
+    from cactussaddle_core.fleet.book import Fleet
+    from cactussaddle_core.fleet.leaf import Leaf
+
+
+class Health(NamedTuple):
+    """A leaf's answer to a probe.
+
+    `leaf` is the id of whoever answered, empty when nobody did; `cold_left_s` is None where the
+    answer doesn't tell.
+    """
+
+    leaf: str
+    healthy: bool
+    cold_left_s: float | None
+
+
+def due_probes(fleet: Fleet, now: float) -> list[Leaf]:
+    """Return the leaves to probe now; each is asked once until it has answered or failed."""
+    due = [leaf for leaf in fleet.leaves.values() if leaf.probe_at <= now]
+    for leaf in due:
+        leaf.probe_at = math.inf
+    return due
+
+
+def next_probe(fleet: Fleet) -> float:
+    """Return when the next probe is due."""
+    return min((leaf.probe_at for leaf in fleet.leaves.values()), default=math.inf)
+
+
+def probe_ended(fleet: Fleet, name: str, health: Health, now: float) -> None:
+    """Take in the end of a probe of the leaf `name`."""
+    leaf = fleet.leaves.get(name)
+    if leaf is None:
+        return
+    if health.leaf != name or not health.healthy:
+        leaf.suspect(Standing.DOWN, now)
+        return
+    if health.cold_left_s is not None:
+        leaf.grew_cold(health.cold_left_s, now)
+    leaf.answered(now)
--- /dev/null
+++ b/packages/cactussaddle-core/src/cactussaddle_core/routing/table.py
@@ -0,0 +1,75 @@
+"""One version of the routing table, and the book that never goes back to an older one."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from cactussaddle_core.invariants import Promise
+from cactussaddle_core.invariants import require
+from cactussaddle_core.routing.model import DEFAULT_CALLER_LIMITS
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from cactussaddle_core.routing.model import CallerLimits
+    from cactussaddle_core.routing.model import Route
+    from cactussaddle_core.routing.model import ServiceSpec
+
+
+class RoutingTable:
+    """An immutable version of the table; of the routes that fit, the longest prefix wins."""
+
+    def __init__(
+        self,
+        *,
+        version: int,
+        routes: Iterable[Route],
+        services: Iterable[ServiceSpec],
+        limits: CallerLimits = DEFAULT_CALLER_LIMITS,
+    ) -> None:
+        self.version = version
+        self.routes = {route.name: route for route in routes}
+        self.services = {service.name: service for service in services}
+        self.limits = limits
+        self._by_host: dict[str, dict[str, Route]] = {}
+        for route in self.routes.values():
+            self._by_host.setdefault(route.host, {})[route.prefix] = route
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the route of a request; prefixes begin and end with a slash."""
+        by_prefix = self._by_host.get(host)
+        if by_prefix is None:
+            return None
+        end = path.rfind("/")
+        while end >= 0:
+            route = by_prefix.get(path[: end + 1])
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end)
+        return None
+
+    def services_in_use(self) -> frozenset[str]:
+        """Return the services that any route sends requests to."""
+        names = {target.service for route in self.routes.values() for target in route.targets}
+        names.update(shard for route in self.routes.values() for shard in route.shards)
+        return frozenset(names)
+
+
+class TableBook:
+    """The table in force on this node."""
+
+    def __init__(self) -> None:
+        self.table: RoutingTable | None = None
+
+    def offer(self, table: RoutingTable) -> bool:
+        """Put a newer table in force; an older or equal one is left aside."""
+        before = self.table
+        if before is not None and table.version <= before.version:
+            return False
+        self.table = table
+        require(
+            before is None or self.table.version > before.version,
+            Promise.NO_REVERT,
+            f"routing table went back to version {table.version}",
+        )
+        return True
--- /dev/null
+++ b/packages/cactussaddle-node/src/cactussaddle_node/__main__.py
@@ -0,0 +1,7 @@
+"""Run the node daemon with `python -m cactussaddle_node`."""
+
+from __future__ import annotations
+
+from cactussaddle_node.main import run
+
+run()
--- a/packages/cactussaddle-node/src/cactussaddle_node/daemon.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/daemon.py
@@ -17,6 +17,10 @@
 from hypercorn.trio import serve as serve_http
 from returns.result import Success
 
+from cactussaddle_common import logs
+from cactussaddle_common.hostlist import HostList
+from cactussaddle_common.hostlist import HostState
+from cactussaddle_common.store import EtcdStore
 from cactussaddle_core.invariants import Breach
 from cactussaddle_core.invariants import raise_breach
 from cactussaddle_core.invariants import set_handler
@@ -51,18 +55,14 @@
 from cactussaddle_node.storewatch import Role
 from cactussaddle_node.storewatch import follow
 from cactussaddle_node.storewatch import write_placement
-from cactussaddle_platform import logs
-from cactussaddle_platform.hostlist import HostList
-from cactussaddle_platform.hostlist import HostState
-from cactussaddle_platform.store import EtcdStore
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from cactussaddle_common.storeapi import Store
     from cactussaddle_core.node.effects import Answer
     from cactussaddle_core.node.events import CallerRequest
     from cactussaddle_node.settings import NodeSettings
-    from cactussaddle_platform.storeapi import Store
 
 STORE_TIMEOUT_S = 2.0
 HOST_LIST_EVERY_S = 1.0
--- /dev/null
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/caller.py
@@ -0,0 +1,193 @@
+"""One caller's connection: requests in, each with its one answer, in order."""
+
+from __future__ import annotations
+
+import socket
+
+from collections import deque
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+import trio
+
+from cactussaddle_common.http.message import Answer
+from cactussaddle_common.http.message import encode_answer
+from cactussaddle_common.http.outbox import Outbox
+from cactussaddle_common.http.requestreader import RequestFaultError
+from cactussaddle_common.http.requestreader import RequestReader
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from cactussaddle_common.http.requestreader import IncomingRequest
+    from cactussaddle_core.routing.model import CallerLimits
+
+READ_BYTES = 65_536
+REQUEST_TIMEOUT = 408
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+# Requests sent ahead of the answers before the connection is read no further.
+MAX_AHEAD = 16
+
+
+class CallerHooks(NamedTuple):
+    """What a connection tells the daemon.
+
+    `arrived` hears of each request, under a number from `next_id`; `gone` of each whose caller has
+    closed the connection. `stopping` says that connections are to end with their next answer.
+    """
+
+    next_id: Callable[[], int]
+    arrived: Callable[[int, CallerConnection, IncomingRequest], None]
+    gone: Callable[[int], None]
+    ended: Callable[[CallerConnection], None]
+    stopping: Callable[[], bool]
+    limits: Callable[[], CallerLimits]
+
+
+class CallerConnection:
+    """An accepted connection; `serve` runs until it ends."""
+
+    def __init__(self, *, sock: socket.socket, nursery: trio.Nursery, hooks: CallerHooks) -> None:
+        self._sock = sock
+        self._hooks = hooks
+        self._reader = RequestReader(limits=hooks.limits())
+        self._outbox = Outbox(
+            sock=sock, nursery=nursery, failed=self._write_failed, drained=self._drained
+        )
+        self._waiting: deque[IncomingRequest] = deque()
+        self._serving: int | None = None
+        self._keep_alive = True
+        self._last_request = False
+        self._finishing = False
+        self._ended = False
+        self._scope = trio.CancelScope()
+
+    @property
+    def idle(self) -> bool:
+        """Whether no request is being read or served."""
+        return self._serving is None and not self._waiting and not self._reader.begun
+
+    async def serve(self) -> None:
+        """Read requests until the connection ends."""
+        with self._scope:
+            while not self._ended:
+                await self._read_some()
+        self.close()
+
+    def answer(self, answer: Answer) -> None:
+        """Send the answer to the request being served, then take on the next one."""
+        if self._ended:
+            return
+        self._serving = None
+        keep_alive = self._keep_alive and not self._hooks.stopping()
+        self._outbox.write(encode_answer(answer, keep_alive))
+        if keep_alive:
+            self._serve_next()
+        else:
+            self._finish()
+
+    def close(self) -> None:
+        """Close the connection; a request being served is dropped."""
+        if self._ended:
+            return
+        self._ended = True
+        self._outbox.discard()
+        trio.lowlevel.notify_closing(self._sock)
+        self._sock.close()
+        self._scope.cancel()
+        serving, self._serving = self._serving, None
+        self._hooks.ended(self)
+        if serving is not None:
+            self._hooks.gone(serving)
+
+    async def _read_some(self) -> None:
+        with trio.move_on_after(self._read_timeout_s()) as scope:
+            await self._wait_readable()
+        if self._ended:
+            return
+        if scope.cancelled_caught:
+            self._read_timed_out()
+            return
+        try:
+            data = self._sock.recv(READ_BYTES)
+        except BlockingIOError:
+            return
+        except OSError:
+            self.close()
+            return
+        if not data:
+            self.close()
+        elif not self._last_request:
+            self._take(data)
+
+    async def _wait_readable(self) -> None:
+        try:
+            await trio.lowlevel.wait_readable(self._sock)
+        except trio.ClosedResourceError:
+            self._ended = True
+
+    def _read_timeout_s(self) -> float:
+        limits = self._hooks.limits()
+        if self._reader.begun and not self._reader.head_done:
+            return limits.header_timeout_s
+        if self._serving is not None:
+            return float("inf")
+        return limits.idle_timeout_s
+
+    def _read_timed_out(self) -> None:
+        if self._reader.begun and self._serving is None:
+            self._refuse(REQUEST_TIMEOUT, "the request took too long to arrive")
+        elif self._serving is None:
+            self.close()
+
+    def _take(self, data: bytes) -> None:
+        self._reader.limits = self._hooks.limits()
+        try:
+            self._reader.feed(data)
+        except RequestFaultError as exc:
+            if self._serving is None and not self._waiting:
+                self._refuse(exc.fault.value, str(exc))
+            else:
+                self._last_request = True
+            return
+        if self._reader.expects_continue and self._reader.head_done:
+            self._reader.expects_continue = False
+            self._outbox.write(CONTINUE)
+        self._waiting.extend(self._reader.requests)
+        self._reader.requests = []
+        if len(self._waiting) > MAX_AHEAD:
+            self._last_request = True
+        if self._serving is None:
+            self._serve_next()
+
+    def _serve_next(self) -> None:
+        if not self._waiting:
+            if self._last_request:
+                self._finish()
+            return
+        request = self._waiting.popleft()
+        self._keep_alive = request.keep_alive and not (self._last_request and not self._waiting)
+        number = self._serving = self._hooks.next_id()
+        self._hooks.arrived(number, self, request)
+
+    def _refuse(self, status: int, message: str) -> None:
+        self._outbox.write(encode_answer(Answer(status, (), message.encode()), False))
+        self._finish()
+
+    def _finish(self) -> None:
+        """End our side; the caller's end, or the idle time, closes the connection."""
+        self._last_request = True
+        self._finishing = True
+        if self._outbox.pending:
+            return
+        try:
+            self._sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            self.close()
+
+    def _drained(self) -> None:
+        if self._finishing and not self._ended:
+            self._finish()
+
+    def _write_failed(self, exc: OSError) -> None:
+        self.close()
--- /dev/null
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/daemon.py
@@ -0,0 +1,249 @@
+"""The node on the users' platform: callers' connections, leaves, store and timers around `reduce`."""
+
+from __future__ import annotations
+
+import random
+import signal
+
+from collections import deque
+from typing import TYPE_CHECKING
+from typing import Any
+
+import trio
+
+from cactussaddle_core.codes import ResultCode
+from cactussaddle_core.edge import effects as fx
+from cactussaddle_core.edge import events as ev
+from cactussaddle_core.edge.reduce import reduce
+from cactussaddle_core.edge.state import EdgeIdentity
+from cactussaddle_core.edge.state import EdgeRules
+from cactussaddle_core.edge.state import EdgeState
+from cactussaddle_core.fanout import model as fan
+from cactussaddle_core.invariants import set_handler
+from cactussaddle_core.limits.budget import BudgetRules
+from cactussaddle_core.limits.cold import ColdRules
+from cactussaddle_core.routing.model import DEFAULT_CALLER_LIMITS
+from cactussaddle_node.edge.caller import CallerHooks
+from cactussaddle_node.edge.eventlog import EventLog
+from cactussaddle_node.edge.follow import Follower
+from cactussaddle_node.edge.leafcaller import LeafCaller
+from cactussaddle_node.edge.listener import Listener
+from cactussaddle_node.edge.pages import Pages
+from cactussaddle_node.edge.pages import PageSources
+from cactussaddle_node.edge.register import RegisterHooks
+from cactussaddle_node.edge.register import register
+from cactussaddle_platform import callers
+from cactussaddle_platform import leaves
+from cactussaddle_platform.kv import KvStore
+from cactussaddle_platform.names import READY_PATH
+from cactussaddle_platform.registry import StoreFeed
+
+if TYPE_CHECKING:
+    from cactussaddle_common.http.message import Answer
+    from cactussaddle_common.http.requestreader import IncomingRequest
+    from cactussaddle_core.invariants import Breach
+    from cactussaddle_core.routing.model import CallerLimits
+    from cactussaddle_node.edge.caller import CallerConnection
+    from cactussaddle_platform.settings import HostSettings
+
+# What is kept of the caller's time for the way back when a leaf is told its deadline.
+LEAF_DEADLINE_SPARE_S = 0.005
+
+
+class EdgeDaemon:
+    """Owns the node's state; `feed` is the only way into the reducer."""
+
+    def __init__(self, *, cfg: HostSettings, nursery: trio.Nursery) -> None:
+        self.cfg = cfg
+        self.log = EventLog(node=cfg.node)
+        self.state = EdgeState(
+            me=EdgeIdentity(cfg.node, cfg.domain, cfg.region_of),
+            rules=_rules(cfg),
+            seed=random.SystemRandom().getrandbits(32),
+        )
+        self.leaf_caller = LeafCaller(
+            nursery=nursery, wire=leaves, local_host=cfg.ip, feed=self.feed
+        )
+        self.stopped = trio.Event()
+        self.breaches = 0
+        self._events: deque[ev.Event] = deque()
+        self._reducing = False
+        self._connections: dict[int, CallerConnection] = {}
+        self._next_id = 0
+        self._wake = trio.Event()
+        self._sleeping_until = 0.0
+        self._listener: Listener | None = None
+
+    def feed(self, event: ev.Event) -> None:
+        """Reduce an event and carry out its effects; events that these cause come after it."""
+        self._events.append(event)
+        if self._reducing:
+            return
+        self._reducing = True
+        try:
+            while self._events:
+                now = trio.current_time()
+                for effect in reduce(self.state, self._events.popleft(), now):
+                    _EFFECT_HANDLERS[type(effect)](self, effect)
+        finally:
+            self._reducing = False
+        if self.state.next_due() < self._sleeping_until:
+            self._wake.set()
+
+    async def run_timers(self) -> None:
+        """Feed a tick whenever one is due, and write the log."""
+        while True:
+            self._sleeping_until = self.state.next_due()
+            self._wake = trio.Event()
+            with trio.move_on_at(self._sleeping_until):
+                await self._wake.wait()
+            self._sleeping_until = 0.0
+            self.feed(ev.Tick())
+            now = trio.current_time()
+            self.leaf_caller.sweep(now)
+            self.log.flush(now)
+
+    def hooks(self, listener: Listener) -> CallerHooks:
+        """Return what callers' connections tell this node."""
+        self._listener = listener
+        return CallerHooks(
+            next_id=self._take_id,
+            arrived=self._arrived,
+            gone=self._gone,
+            ended=listener.connections.discard,
+            stopping=lambda: self.state.stopping.closing(trio.current_time()),
+            limits=self._limits,
+        )
+
+    def breach(self, breach: Breach) -> None:
+        """Log and count a broken promise."""
+        self.breaches += 1
+        self.note(fx.Note("breach", {"promise": breach.promise.value, "detail": breach.detail}))
+
+    def note(self, effect: fx.Note) -> None:
+        """Write a log line."""
+        self.log.write(effect.event, effect.fields, trio.current_time())
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state dump."""
+        return {"node": self.cfg.node, "breaches": self.breaches}
+
+    def metrics(self) -> tuple[bytes, str]:
+        """Return the metrics as text."""
+        return b"", "text/plain"
+
+    def _take_id(self) -> int:
+        self._next_id += 1
+        return self._next_id
+
+    def _limits(self) -> CallerLimits:
+        table = self.state.tables.table
+        return table.limits if table is not None else DEFAULT_CALLER_LIMITS
+
+    def _arrived(self, number: int, connection: CallerConnection, request: IncomingRequest) -> None:
+        decoded = callers.decode_request(number, request.head, request.body)
+        if isinstance(decoded, str):
+            declined = fan.Declined(number, ResultCode.BAD_REQUEST, decoded, False, 0.0)
+            connection.answer(callers.encode_declined(declined))
+            return
+        self._connections[number] = connection
+        self.feed(ev.RequestArrived(decoded))
+
+    def _gone(self, number: int) -> None:
+        if self._connections.pop(number, None) is not None:
+            self.feed(ev.CallerGone(number))
+
+    def _answer(self, number: int, answer: Answer) -> None:
+        connection = self._connections.pop(number, None)
+        if connection is not None:
+            connection.answer(answer)
+
+    def _send_call(self, effect: fan.SendCall) -> None:
+        query = effect.call.part.query
+        left_s = query.deadline - trio.current_time() - LEAF_DEADLINE_SPARE_S
+        self.leaf_caller.send(effect.call, left_s)
+
+    def _merged(self, effect: fan.Merged) -> None:
+        self._answer(effect.query.request.req_id, callers.encode_merged(effect))
+
+    def _relayed(self, effect: fan.Relayed) -> None:
+        self._answer(effect.query.request.req_id, callers.encode_relayed(effect))
+
+    def _declined(self, effect: fan.Declined) -> None:
+        self._answer(effect.req_id, callers.encode_declined(effect))
+
+    def _probe(self, effect: fan.ProbeLeaf) -> None:
+        table = self.state.tables.table
+        spec = table.services.get(effect.leaf.entry.service) if table is not None else None
+        self.leaf_caller.probe(effect.leaf, spec.health_path if spec is not None else "/")
+
+    def _close_idle(self, effect: fx.CloseIdle) -> None:
+        if self._listener is not None:
+            self._listener.close_idle()
+
+    def _end_process(self, effect: fx.EndProcess) -> None:
+        self.stopped.set()
+
+
+_EFFECT_HANDLERS: dict[type[Any], Any] = {
+    fan.SendCall: EdgeDaemon._send_call,
+    fan.EndCall: lambda daemon, effect: daemon.leaf_caller.end(effect.call, effect.linger_s),
+    fan.Merged: EdgeDaemon._merged,
+    fan.Relayed: EdgeDaemon._relayed,
+    fan.Declined: EdgeDaemon._declined,
+    fan.ProbeLeaf: EdgeDaemon._probe,
+    fx.KeepConnections: lambda daemon, effect: daemon.leaf_caller.keep(effect.leaves),
+    fx.Note: EdgeDaemon.note,
+    fx.CloseIdle: EdgeDaemon._close_idle,
+    fx.EndProcess: EdgeDaemon._end_process,
+}
+
+
+def _rules(cfg: HostSettings) -> EdgeRules:
+    bounds = cfg.bounds
+    return EdgeRules(
+        budget=BudgetRules(bounds.retry_ratio, bounds.retry_allowance, bounds.retry_window_s),
+        cold=ColdRules(bounds.cold_over, bounds.cold_slack),
+    )
+
+
+async def serve(cfg: HostSettings) -> None:
+    """Run a node until it is asked to stop and its work in hand has finished."""
+    async with trio.open_nursery() as nursery:
+        daemon = EdgeDaemon(cfg=cfg, nursery=nursery)
+        set_handler(daemon.breach)
+        daemon.note(fx.Note("started", {"domain": cfg.domain, "ip": cfg.ip}))
+        sources = PageSources(daemon.state.is_ready, daemon.dump, daemon.metrics)
+        pages = Pages(ready_path=READY_PATH, sources=sources)
+        store = KvStore(address=cfg.store.address._replace(local_host=cfg.ip), nursery=nursery)
+        for address, hooks in _listeners(cfg, daemon, pages):
+            listener = Listener(address=address, nursery=nursery, hooks=hooks)
+            nursery.start_soon(listener.accept)
+        nursery.start_soon(daemon.run_timers)
+        follower = Follower(source=StoreFeed(store=store), feed=daemon.feed)
+        nursery.start_soon(follower.run)
+        nursery.start_soon(register, store, cfg, RegisterHooks(daemon.note, follower.interrupt))
+        nursery.start_soon(_watch_signals, daemon)
+        await daemon.stopped.wait()
+        daemon.note(fx.Note("stopped", {}))
+        daemon.log.flush(trio.current_time())
+        nursery.cancel_scope.cancel()
+
+
+def _listeners(cfg: HostSettings, daemon: EdgeDaemon, pages: Pages) -> list[tuple[Any, Any]]:
+    listeners: list[tuple[Any, Any]] = [
+        (cfg.callers, daemon.hooks),
+        (cfg.readiness, pages.hooks),
+    ]
+    if cfg.admin is not None:
+        listeners.append((cfg.admin, pages.hooks))
+    return listeners
+
+
+async def _watch_signals(daemon: EdgeDaemon) -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+        async for number in signals:
+            if number == signal.SIGHUP:
+                daemon.note(fx.Note("reload", {}))
+            else:
+                daemon.feed(ev.StopAsked(daemon.cfg.bounds.shutdown_grace_s))
--- /dev/null
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/leafcaller.py
@@ -0,0 +1,152 @@
+"""Carries out calls and probes at leaves, and feeds how they ended."""
+
+from __future__ import annotations
+
+import functools
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from cactussaddle_common.http.channel import Address
+from cactussaddle_common.http.channel import Exchange
+from cactussaddle_common.http.channel import Loss
+from cactussaddle_common.http.fetch import fetch
+from cactussaddle_common.http.pool import Pool
+from cactussaddle_common.http.pool import PoolSettings
+from cactussaddle_core.edge import events as ev
+from cactussaddle_core.fanout.model import CallEnd
+from cactussaddle_core.fanout.model import CallEnding
+from cactussaddle_core.fleet.probing import Health
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from cactussaddle_common.http.channel import Channel
+    from cactussaddle_common.http.channel import ExchangeEnd
+    from cactussaddle_core.fanout.state import Call
+    from cactussaddle_core.fleet.leaf import Leaf
+    from cactussaddle_node.edge.wire import LeafWire
+
+CONNECT_TIMEOUT_S = 1.0
+PROBE_TIMEOUT_S = 0.8
+WARM_CONNECTIONS = 1
+NO_ANSWER = Health(leaf="", healthy=False, cold_left_s=None)
+
+
+class LeafCaller:
+    """The pools of all leaves that this node talks to; `wire` is how leaves are spoken to."""
+
+    def __init__(
+        self,
+        *,
+        nursery: trio.Nursery,
+        wire: LeafWire,
+        local_host: str,
+        feed: Callable[[ev.Event], None],
+    ) -> None:
+        self._nursery = nursery
+        self._wire = wire
+        self._local_host = local_host
+        self._feed = feed
+        self._pools: dict[str, Pool] = {}
+        self._leaving: list[Pool] = []
+        self._channels: dict[int, Channel] = {}
+
+    def keep(self, leaves: tuple[tuple[Leaf, int], ...]) -> None:
+        """Keep pools of exactly these leaves, each with at most so many connections."""
+        wanted = {leaf.name: (leaf, most) for leaf, most in leaves}
+        for name, pool in list(self._pools.items()):
+            leaf_most = wanted.get(name)
+            if leaf_most is None or pool.address != self._address(leaf_most[0]):
+                pool.close()
+                self._leaving.append(self._pools.pop(name))
+        for leaf, most in wanted.values():
+            pool = self._pool(leaf)
+            pool.most = most
+            pool.warm(WARM_CONNECTIONS)
+
+    def send(self, call: Call, deadline_s: float) -> None:
+        """Send a call; `deadline_s` is what is left of the caller's time."""
+        query = call.part.query
+        exchange = Exchange(
+            data=self._wire.encode_call(query.request, call.leaf, deadline_s),
+            left=functools.partial(self._feed, ev.CallLeft(call.call_id)),
+            accept=functools.partial(self._wire.is_answer_to, query.request),
+            ended=functools.partial(self._call_ended, call),
+        )
+        channel = self._pool(call.leaf).start(exchange, fresh=not query.route.idempotent)
+        if channel is None:
+            self._feed(ev.CallEnded(CallEnd(call.call_id, CallEnding.NO_ROOM, "at the limit")))
+        elif channel.exchange is exchange:
+            self._channels[call.call_id] = channel
+
+    def end(self, call: Call, linger_s: float) -> None:
+        """Wait `linger_s` more for a call's answer, then close its connection."""
+        channel = self._channels.get(call.call_id)
+        if channel is None:
+            return
+        if linger_s <= 0.0 or not channel.open:
+            channel.cancel()
+        else:
+            channel.linger_until = trio.current_time() + linger_s
+
+    def probe(self, leaf: Leaf, health_path: str) -> None:
+        """Ask a leaf for its health over a new connection."""
+        self._nursery.start_soon(self._probe, leaf, health_path)
+
+    def sweep(self, now: float) -> None:
+        """Close connections that are idle or awaited for too long."""
+        self._leaving = [pool for pool in self._leaving if pool.channels]
+        for pool in [*self._pools.values(), *self._leaving]:
+            pool.sweep(now)
+
+    def _pool(self, leaf: Leaf) -> Pool:
+        pool = self._pools.get(leaf.name)
+        if pool is None:
+            settings = PoolSettings(1, CONNECT_TIMEOUT_S, functools.partial(self._opened, leaf))
+            pool = self._pools[leaf.name] = Pool(
+                address=self._address(leaf), nursery=self._nursery, settings=settings
+            )
+        return pool
+
+    def _address(self, leaf: Leaf) -> Address:
+        return Address(leaf.entry.host, leaf.entry.port, self._local_host)
+
+    def _opened(self, leaf: Leaf, took_s: float) -> None:
+        self._feed(ev.Connected(leaf.name, took_s))
+
+    def _call_ended(self, call: Call, end: ExchangeEnd) -> None:
+        self._channels.pop(call.call_id, None)
+        pool = self._pools.get(call.leaf.name)
+        if end.response is not None:
+            self._feed(ev.CallEnded(self._wire.decode_end(call.call_id, end.response)))
+            return
+        if end.reused and end.loss in (Loss.RESET, Loss.CLOSED) and pool is not None:
+            pool.dropped_idle(end.idle_s)
+        if end.loss is Loss.CANCELLED and call.left and pool is not None:
+            pool.flush()
+        self._feed(ev.CallEnded(CallEnd(call.call_id, _ending(end.loss), end.detail)))
+
+    async def _probe(self, leaf: Leaf, health_path: str) -> None:
+        health = NO_ANSWER
+        async with trio.open_nursery() as nursery:
+            settings = PoolSettings(1, CONNECT_TIMEOUT_S, _ignore_time)
+            pool = Pool(address=self._address(leaf), nursery=nursery, settings=settings)
+            end = await fetch(pool, self._wire.encode_probe(leaf, health_path), PROBE_TIMEOUT_S)
+            if end.response is not None:
+                health = self._wire.decode_health(end.response)
+            pool.abort()
+        self._feed(ev.ProbeEnded(leaf.name, health))
+
+
+def _ending(loss: Loss | None) -> CallEnding:
+    if loss is Loss.NOT_CONNECTED:
+        return CallEnding.NOT_SENT
+    if loss is Loss.CANCELLED:
+        return CallEnding.CANCELLED
+    return CallEnding.BROKEN
+
+
+def _ignore_time(took_s: float) -> None:
+    """Take no note of the time that a connection took."""
--- /dev/null
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/pages.py
@@ -0,0 +1,76 @@
+"""The node's own pages: readiness for the balancer, state dump and metrics for operators."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import NamedTuple
+
+import msgspec
+
+from cactussaddle_common.http.message import Answer
+from cactussaddle_core.routing.model import DEFAULT_CALLER_LIMITS
+from cactussaddle_node.edge.caller import CallerHooks
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from cactussaddle_common.http.requestreader import IncomingRequest
+    from cactussaddle_node.edge.caller import CallerConnection
+    from cactussaddle_node.edge.listener import Listener
+
+JSON = ((b"Content-Type", b"application/json"),)
+
+
+class PageSources(NamedTuple):
+    """Where the pages get what they show."""
+
+    ready: Callable[[], bool]
+    dump: Callable[[], dict[str, Any]]
+    metrics: Callable[[], tuple[bytes, str]]
+
+
+class Pages:
+    """Serves the pages; `ready_path` is where the balancer asks."""
+
+    def __init__(self, *, ready_path: bytes, sources: PageSources) -> None:
+        self._ready_path = ready_path
+        self._sources = sources
+        self._next_id = 0
+
+    def hooks(self, listener: Listener) -> CallerHooks:
+        """Return what connections of a listener for these pages tell."""
+        return CallerHooks(
+            next_id=self._take_id,
+            arrived=self._arrived,
+            gone=_ignore,
+            ended=listener.connections.discard,
+            stopping=_never,
+            limits=lambda: DEFAULT_CALLER_LIMITS,
+        )
+
+    def _take_id(self) -> int:
+        self._next_id += 1
+        return self._next_id
+
+    def _arrived(self, number: int, connection: CallerConnection, request: IncomingRequest) -> None:
+        path = request.head.target.split(b"?", 1)[0]
+        connection.answer(self._page(path))
+
+    def _page(self, path: bytes) -> Answer:
+        if path == self._ready_path:
+            return Answer(200 if self._sources.ready() else 503, (), b"")
+        if path == b"/state":
+            return Answer(200, JSON, msgspec.json.encode(self._sources.dump(), enc_hook=str))
+        if path == b"/metrics":
+            data, kind = self._sources.metrics()
+            return Answer(200, ((b"Content-Type", kind.encode("ascii")),), data)
+        return Answer(404, (), b"no such page")
+
+
+def _ignore(number: int) -> None:
+    """A page is answered at once, so nobody can leave before."""
+
+
+def _never() -> bool:
+    return False
--- a/packages/cactussaddle-node/src/cactussaddle_node/main.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/main.py
@@ -3,29 +3,22 @@
 from __future__ import annotations
 
 import os
-import sys
 
-import trio_asyncio
 
-from cactussaddle_node.daemon import serve
-from cactussaddle_node.settings import SETTINGS
-from cactussaddle_node.settings import node_settings
-from cactussaddle_platform import logs
-from cactussaddle_platform.settings import parse
+def run() -> None:
+    """Run the daemon until it is asked to stop.
 
+    Where the users' platform has left its settings file, the node runs there; else it runs by its
+    own flags and environment variables. Each way loads only the libraries that it needs.
+    """
+    if os.environ.get("CACTUSSADDLE_CONFIG"):
+        from cactussaddle_node.edge.main import run_on_platform
 
-def run() -> None:
-    """Run the daemon until it is asked to stop."""
-    values = parse(
-        "cactussaddle-node",
-        "Serves callers of one entry host: fans queries out to leaves and merges the answers.",
-        SETTINGS,
-        sys.argv[1:],
-        os.environ,
-    )
-    cfg = node_settings(values)
-    logs.setup(cfg.node_name, cfg.log_level)
-    trio_asyncio.run(serve, cfg)
+        run_on_platform()
+        return
+    from cactussaddle_node.standalone import run_standalone
+
+    run_standalone()
 
 
 if __name__ == "__main__":
--- a/packages/cactussaddle-node/src/cactussaddle_node/recordstore.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/recordstore.py
@@ -12,6 +12,10 @@
 
 from returns.result import Success
 
+from cactussaddle_common import logs
+from cactussaddle_common.storeapi import ABSENT
+from cactussaddle_common.storeapi import StoreErrorKind
+from cactussaddle_common.storeapi import Update
 from cactussaddle_core.config.model import MoveState
 from cactussaddle_core.config.verdict import VERDICT_PREFIX
 from cactussaddle_core.config.verdict import Verdict
@@ -24,19 +28,15 @@
 from cactussaddle_core.once import WriteResult
 from cactussaddle_node.storewatch import RETRY_S
 from cactussaddle_node.storewatch import pause
-from cactussaddle_platform import logs
-from cactussaddle_platform.storeapi import ABSENT
-from cactussaddle_platform.storeapi import StoreErrorKind
-from cactussaddle_platform.storeapi import Update
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from cactussaddle_common.storeapi import Store
+    from cactussaddle_common.storeapi import SwapOutcome
     from cactussaddle_core.node.effects import RecordMove
     from cactussaddle_core.node.effects import WriteRecords
     from cactussaddle_node.storewatch import Role
-    from cactussaddle_platform.storeapi import Store
-    from cactussaddle_platform.storeapi import SwapOutcome
 
 ONCE_PREFIX = "/cactussaddle/once/"
 WRITE_TIMEOUT_S = 1.0
--- a/packages/cactussaddle-node/src/cactussaddle_node/settings.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/settings.py
@@ -4,12 +4,12 @@
 
 from typing import NamedTuple
 
+from cactussaddle_common.logs import LEVELS
+from cactussaddle_common.settings import Kind
+from cactussaddle_common.settings import Setting
+from cactussaddle_common.values import Address
 from cactussaddle_core.node.state import FirstWave
 from cactussaddle_core.node.state import PolicyName
-from cactussaddle_platform.logs import LEVELS
-from cactussaddle_platform.settings import Kind
-from cactussaddle_platform.settings import Setting
-from cactussaddle_platform.values import Address
 
 SETTINGS = (
     Setting("node-name", Kind.TEXT, None, "unique name of this node"),
--- a/packages/cactussaddle-node/src/cactussaddle_node/storewatch.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/storewatch.py
@@ -11,16 +11,16 @@
 
 from returns.result import Success
 
+from cactussaddle_common.storeapi import ABSENT
 from cactussaddle_core.node.documents import PLACEMENT
 from cactussaddle_core.node.events import DocSeen
 from cactussaddle_core.node.events import StoreSeen
-from cactussaddle_platform.storeapi import ABSENT
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from cactussaddle_common.storeapi import Store
     from cactussaddle_core.node.effects import WritePlacement
-    from cactussaddle_platform.storeapi import Store
 
 PLACEMENT_KEY = "/cactussaddle/placement"
 CONFIG_KEY = "/cactussaddle/config"
--- a/tests/platform/test_configstore.py
+++ b/tests/common/test_configstore.py
@@ -12,19 +12,19 @@
 from hypothesis import strategies as st
 from returns.result import Failure
 
+from cactussaddle_common.configstore import Accepted
+from cactussaddle_common.configstore import LostRace
+from cactussaddle_common.configstore import create_verdict
+from cactussaddle_common.configstore import read_config
+from cactussaddle_common.configstore import read_revision
+from cactussaddle_common.configstore import stale_verdicts
+from cactussaddle_common.configstore import write_config
+from cactussaddle_common.store import EtcdStore
+from cactussaddle_common.storeapi import StoreErrorKind
 from cactussaddle_core.config.change import next_doc
-from cactussaddle_platform.configstore import Accepted
-from cactussaddle_platform.configstore import LostRace
-from cactussaddle_platform.configstore import create_verdict
-from cactussaddle_platform.configstore import read_config
-from cactussaddle_platform.configstore import read_revision
-from cactussaddle_platform.configstore import stale_verdicts
-from cactussaddle_platform.configstore import write_config
-from cactussaddle_platform.store import EtcdStore
-from cactussaddle_platform.storeapi import StoreErrorKind
+from tests.common.fake_etcd import FakeEtcd
 from tests.core.config.samples import move
 from tests.core.config.samples import sample_doc
-from tests.platform.fake_etcd import FakeEtcd
 
 HISTORY_BYTES = 1_000_000
 OPERATORS = 3
--- a/tests/platform/test_history.py
+++ b/tests/common/test_history.py
@@ -7,18 +7,18 @@
 
 import trio
 
+from cactussaddle_common.configstore import Accepted
+from cactussaddle_common.configstore import read_config
+from cactussaddle_common.configstore import write_config
+from cactussaddle_common.history import HISTORY_PREFIX
+from cactussaddle_common.history import KEPT_REVISIONS
+from cactussaddle_common.history import next_index
+from cactussaddle_common.store import EtcdStore
 from cactussaddle_core.config.change import next_doc
 from cactussaddle_core.config.model import encode_doc
-from cactussaddle_platform.configstore import Accepted
-from cactussaddle_platform.configstore import read_config
-from cactussaddle_platform.configstore import write_config
-from cactussaddle_platform.history import HISTORY_PREFIX
-from cactussaddle_platform.history import KEPT_REVISIONS
-from cactussaddle_platform.history import next_index
-from cactussaddle_platform.store import EtcdStore
+from tests.common.fake_etcd import FakeEtcd
 from tests.core.config.samples import move
 from tests.core.config.samples import sample_doc
-from tests.platform.fake_etcd import FakeEtcd
 
 SEEDS = 20
 BOUND = 30_000
--- a/tests/platform/test_hostlist.py
+++ b/tests/common/test_hostlist.py
@@ -5,8 +5,8 @@
 import httpx
 import trio
 
-from cactussaddle_platform.hostlist import HostList
-from cactussaddle_platform.hostlist import HostState
+from cactussaddle_common.hostlist import HostList
+from cactussaddle_common.hostlist import HostState
 
 HOST = {"name": "e1", "address": "127.0.0.1", "role": "entry", "domain": "dublin", "state": "live"}
 
--- a/tests/platform/test_logs.py
+++ b/tests/common/test_logs.py
@@ -5,8 +5,8 @@
 import sys
 import unittest
 
-from cactussaddle_platform.logs import FIELDS_ATTRIBUTE
-from cactussaddle_platform.logs import JsonFormatter
+from cactussaddle_common.logs import FIELDS_ATTRIBUTE
+from cactussaddle_common.logs import JsonFormatter
 
 
 class LogsTest(unittest.TestCase):
--- a/tests/platform/test_settings.py
+++ b/tests/common/test_settings.py
@@ -4,10 +4,10 @@
 import io
 import unittest
 
-from cactussaddle_platform.settings import Kind
-from cactussaddle_platform.settings import Setting
-from cactussaddle_platform.settings import parse
-from cactussaddle_platform.values import Address
+from cactussaddle_common.settings import Kind
+from cactussaddle_common.settings import Setting
+from cactussaddle_common.settings import parse
+from cactussaddle_common.values import Address
 
 SETTINGS = (
     Setting("node-name", Kind.TEXT, None, "name"),
--- a/tests/platform/test_store.py
+++ b/tests/common/test_store.py
@@ -8,13 +8,13 @@
 
 from returns.result import Failure
 
-from cactussaddle_platform.store import EtcdStore
-from cactussaddle_platform.storeapi import Snapshot
-from cactussaddle_platform.storeapi import StoreCall
-from cactussaddle_platform.storeapi import StoreErrorKind
-from cactussaddle_platform.storeapi import Update
-from cactussaddle_platform.storeapi import WatchBatch
-from tests.platform.fake_etcd import FakeEtcd
+from cactussaddle_common.store import EtcdStore
+from cactussaddle_common.storeapi import Snapshot
+from cactussaddle_common.storeapi import StoreCall
+from cactussaddle_common.storeapi import StoreErrorKind
+from cactussaddle_common.storeapi import Update
+from cactussaddle_common.storeapi import WatchBatch
+from tests.common.fake_etcd import FakeEtcd
 
 
 class StoreTest(unittest.TestCase):
--- a/tests/node/test_recordstore.py
+++ b/tests/node/test_recordstore.py
@@ -4,12 +4,12 @@
 
 import trio
 
+from cactussaddle_common.configstore import read_verdicts
+from cactussaddle_common.store import EtcdStore
 from cactussaddle_core.config.model import MoveState
 from cactussaddle_core.node.effects import RecordMove
 from cactussaddle_node.recordstore import record_move
-from cactussaddle_platform.configstore import read_verdicts
-from cactussaddle_platform.store import EtcdStore
-from tests.platform.fake_etcd import FakeEtcd
+from tests.common.fake_etcd import FakeEtcd
 
 
 class RecordMoveTest(unittest.TestCase):
--- a/tests/node/test_settings.py
+++ b/tests/node/test_settings.py
@@ -2,9 +2,9 @@
 
 import unittest
 
+from cactussaddle_common.settings import parse
 from cactussaddle_node.settings import SETTINGS
 from cactussaddle_node.settings import node_settings
-from cactussaddle_platform.settings import parse
 
 REQUIRED = [
     "--node-name=n1",
--- a/tests/node/test_storewatch.py
+++ b/tests/node/test_storewatch.py
@@ -13,14 +13,14 @@
 
 from returns.result import Success
 
+from cactussaddle_common.storeapi import Entry
+from cactussaddle_common.storeapi import Snapshot
+from cactussaddle_common.storeapi import WatchBatch
 from cactussaddle_node.recordstore import follow_finals
 from cactussaddle_node.storewatch import CONFIG_KEY
 from cactussaddle_node.storewatch import REREAD_S
 from cactussaddle_node.storewatch import Role
 from cactussaddle_node.storewatch import follow
-from cactussaddle_platform.storeapi import Entry
-from cactussaddle_platform.storeapi import Snapshot
-from cactussaddle_platform.storeapi import WatchBatch
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -11,6 +11,7 @@
 from cactussaddle_cli import commands
 from cactussaddle_cli.context import SETTINGS as CLI_SETTINGS
 from cactussaddle_cli.exitcodes import EXIT_INFO
+from cactussaddle_common.settings import allowed_text
 from cactussaddle_core.codes import CODE_INFO
 from cactussaddle_core.config.check import check_doc
 from cactussaddle_core.invariants import Promise
@@ -18,7 +19,6 @@
 from cactussaddle_core.sheet.rows import read_sheet
 from cactussaddle_core.sheet.table import COLUMNS
 from cactussaddle_node.settings import SETTINGS as NODE_SETTINGS
-from cactussaddle_platform.settings import allowed_text
 from tests.harness.topology import build
 
 ROOT = Path(__file__).resolve().parent.parent
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -14,13 +14,13 @@
 from hypothesis import strategies as st
 from returns.result import Failure
 
+from cactussaddle_common.settings import resolve
 from cactussaddle_core.config.check import check_doc
 from cactussaddle_core.config.model import decode_doc
 from cactussaddle_core.exceptions import ConfigError
 from cactussaddle_core.sheet.plan import plan_sheet
 from cactussaddle_core.sheet.rows import read_sheet
 from cactussaddle_node.settings import SETTINGS
-from cactussaddle_platform.settings import resolve
 from tests.core.config.samples import WALL
 from tests.core.config.samples import sample_doc
 
--- a/tools/measure_in_force.py
+++ b/tools/measure_in_force.py
@@ -20,11 +20,11 @@
 import msgspec
 import trio
 
+from cactussaddle_common.configstore import Accepted
+from cactussaddle_common.configstore import read_config
+from cactussaddle_common.configstore import write_config
+from cactussaddle_common.store import EtcdStore
 from cactussaddle_core.config.change import next_doc
-from cactussaddle_platform.configstore import Accepted
-from cactussaddle_platform.configstore import read_config
-from cactussaddle_platform.configstore import write_config
-from cactussaddle_platform.store import EtcdStore
 from tests.harness.cluster import Cluster
 from tests.harness.process import wait_for
 from tools.figures import table
