Few nodes read the store, the others follow them; probes tell a slow leaf from a paused one

A leaf that had turned slow was called again and again, since one slow call can be a pause. Change: a tree over the registered nodes, worked out by each for itself (core spread/); a node followed answers within 0.7 s, so its silence shows. Connections are opened beforehand in the own region only.

--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/effects.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/effects.py
@@ -11,12 +11,21 @@
 
 if TYPE_CHECKING:
     from cactussaddle_core.fleet.leaf import Leaf
+    from cactussaddle_core.spread.tree import Place
+
+
+class Connections(NamedTuple):
+    """How many connections to a leaf may be open, and how many to open before they are needed."""
+
+    leaf: Leaf
+    most: int
+    warm: int
 
 
 class KeepConnections(NamedTuple):
-    """Keep connections to exactly these leaves, at most `most` to each."""
+    """Keep connections to exactly these leaves."""
 
-    leaves: tuple[tuple[Leaf, int], ...]
+    leaves: tuple[Connections, ...]
 
 
 class Note(NamedTuple):
@@ -26,6 +35,12 @@
     fields: dict[str, Any]
 
 
+class SetPlace(NamedTuple):
+    """Follow the store from this place among the members."""
+
+    place: Place
+
+
 class CloseIdle(NamedTuple):
     """Close the callers' connections as they fall idle."""
 
@@ -34,4 +49,4 @@
     """End the process."""
 
 
-Effect: TypeAlias = FanoutEffect | KeepConnections | Note | CloseIdle | EndProcess
+Effect: TypeAlias = FanoutEffect | KeepConnections | Note | SetPlace | CloseIdle | EndProcess
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/events.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/events.py
@@ -12,6 +12,7 @@
     from cactussaddle_core.fleet.model import LeafEntry
     from cactussaddle_core.fleet.probing import Health
     from cactussaddle_core.routing.table import RoutingTable
+    from cactussaddle_core.spread.model import Member
 
 
 class RequestArrived(NamedTuple):
@@ -89,17 +90,22 @@
     domains: frozenset[str]
 
 
-class MemberMarked(NamedTuple):
-    """A node has registered itself, or its entry is gone."""
+class MemberSeen(NamedTuple):
+    """A node has registered itself."""
+
+    member: Member
+
+
+class MemberGone(NamedTuple):
+    """A node's entry is gone."""
 
     node: str
-    present: bool
 
 
 class MembersListed(NamedTuple):
     """All nodes that are registered."""
 
-    nodes: tuple[str, ...]
+    members: tuple[Member, ...]
 
 
 class RecordRejected(NamedTuple):
@@ -142,7 +148,8 @@
     | LeafRemoved
     | DomainMarked
     | DomainsListed
-    | MemberMarked
+    | MemberSeen
+    | MemberGone
     | MembersListed
     | RecordRejected
     | StoreLost
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/reduce.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/reduce.py
@@ -8,21 +8,25 @@
 from cactussaddle_core.codes import ResultCode
 from cactussaddle_core.edge import events as ev
 from cactussaddle_core.edge.effects import CloseIdle
+from cactussaddle_core.edge.effects import Connections
 from cactussaddle_core.edge.effects import EndProcess
 from cactussaddle_core.edge.effects import KeepConnections
 from cactussaddle_core.edge.effects import Note
+from cactussaddle_core.edge.effects import SetPlace
 from cactussaddle_core.edge.state import HOUSEKEEPING_S
 from cactussaddle_core.fanout import reduce as fanout
 from cactussaddle_core.fanout.model import Declined
 from cactussaddle_core.fanout.model import ProbeLeaf
 from cactussaddle_core.fleet.probing import due_probes
 from cactussaddle_core.fleet.probing import probe_ended
+from cactussaddle_core.spread.tree import place_of
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from cactussaddle_core.edge.effects import Effect
     from cactussaddle_core.edge.state import EdgeState
+    from cactussaddle_core.spread.model import Member
 
 # When a caller of a node that is not ready may try again; it is likely to reach another node.
 NOT_READY_RETRY_S = 0.2
@@ -84,19 +88,22 @@
     if not state.tables.offer(event.table):
         return []
     note = Note("table", {"version": event.table.version, "routes": len(event.table.routes)})
-    return [note, *_keep_connections(state)]
+    return [note, *_keep_connections(state, now)]
 
 
 def _leaves_listed(state: EdgeState, event: ev.LeavesListed, now: float) -> list[Effect]:
-    state.fleet.listed(event.entries, now)
+    for leaf in state.fleet.listed(event.entries, now):
+        state.plan_first_probe(leaf, now)
     state.fleet.sweep(now)
     note = Note("leaves_listed", {"leaves": len(event.entries)})
-    return [note, *_keep_connections(state)]
+    return [note, *_keep_connections(state, now)]
 
 
 def _leaf_changed(state: EdgeState, event: ev.LeafChanged, now: float) -> list[Effect]:
     entry = event.entry
-    state.fleet.changed(entry, now)
+    started = state.fleet.changed(entry, now)
+    if started is not None:
+        state.plan_first_probe(started, now)
     fields = {
         "leaf": entry.leaf,
         "service": entry.service,
@@ -104,7 +111,7 @@
         "draining": entry.draining,
         "cold_left_s": entry.cold_left_s,
     }
-    return [Note("leaf", fields), *_keep_connections(state)]
+    return [Note("leaf", fields), *_keep_connections(state, now)]
 
 
 def _leaf_removed(state: EdgeState, event: ev.LeafRemoved, now: float) -> list[Effect]:
@@ -133,25 +140,27 @@
     return [Note("domains_out", {"domains": sorted(domains)})]
 
 
-def _member_marked(state: EdgeState, event: ev.MemberMarked, now: float) -> list[Effect]:
-    nodes = set(state.members)
-    if event.present:
-        nodes.add(event.node)
-    else:
-        nodes.discard(event.node)
-    return _set_members(state, tuple(sorted(nodes)))
+def _member_seen(state: EdgeState, event: ev.MemberSeen, now: float) -> list[Effect]:
+    return _set_members(state, {**state.members, event.member.node: event.member}, now)
+
+
+def _member_gone(state: EdgeState, event: ev.MemberGone, now: float) -> list[Effect]:
+    members = {name: member for name, member in state.members.items() if name != event.node}
+    return _set_members(state, members, now)
 
 
 def _members_listed(state: EdgeState, event: ev.MembersListed, now: float) -> list[Effect]:
-    return _set_members(state, event.nodes)
+    return _set_members(state, {member.node: member for member in event.members}, now)
 
 
-def _set_members(state: EdgeState, nodes: tuple[str, ...]) -> list[Effect]:
-    if nodes == state.members:
+def _set_members(state: EdgeState, members: dict[str, Member], now: float) -> list[Effect]:
+    if members == state.members:
         return []
-    state.members = nodes
-    state.budget.nodes = state.member_count()
-    return [Note("members", {"nodes": len(nodes)}), *_keep_connections(state)]
+    state.set_members(members, now)
+    place = place_of(state.me.node, state.me.domain, members.values(), state.me.region_of)
+    fields = {"nodes": len(members), "follows": [member.node for member in place.follow]}
+    note = Note("members", {**fields, "store_at": place.store_at})
+    return [note, SetPlace(place), *_keep_connections(state, now)]
 
 
 def _record_rejected(state: EdgeState, event: ev.RecordRejected, now: float) -> list[Effect]:
@@ -184,6 +193,7 @@
     if now < state.housekeeping_at:
         return effects
     state.housekeeping_at = now + HOUSEKEEPING_S
+    state.budget.nodes = state.member_count(now)
     effects += _sweep(state, now)
     effects += [ProbeLeaf(leaf) for leaf in due_probes(state.fleet, now)]
     return effects + _go_on_stopping(state, now)
@@ -194,7 +204,7 @@
     if not dropped:
         return []
     return [Note("leaves_dropped", {"leaves": [leaf.name for leaf in dropped]})] + [
-        *_keep_connections(state)
+        *_keep_connections(state, now)
     ]
 
 
@@ -206,13 +216,13 @@
     return [CloseIdle()]
 
 
-def _keep_connections(state: EdgeState) -> list[Effect]:
+def _keep_connections(state: EdgeState, now: float) -> list[Effect]:
     table = state.tables.table
     if table is None:
         return []
     used = table.services_in_use()
     kept = tuple(
-        (leaf, state.connections_to(leaf))
+        Connections(leaf, state.connections_to(leaf, now), state.warm_connections(leaf))
         for leaf in state.fleet.leaves.values()
         if leaf.entry.service in used
     )
@@ -232,7 +242,8 @@
     ev.LeafRemoved: _leaf_removed,
     ev.DomainMarked: _domain_marked,
     ev.DomainsListed: _domains_listed,
-    ev.MemberMarked: _member_marked,
+    ev.MemberSeen: _member_seen,
+    ev.MemberGone: _member_gone,
     ev.MembersListed: _members_listed,
     ev.RecordRejected: _record_rejected,
     ev.StoreLost: _store_lost,
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/state.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/state.py
@@ -10,6 +10,7 @@
 from cactussaddle_core.fleet.book import Fleet
 from cactussaddle_core.limits.budget import RetryBudget
 from cactussaddle_core.limits.cold import calls_per_second
+from cactussaddle_core.limits.members import MemberCounts
 from cactussaddle_core.routing.split import SplitBook
 from cactussaddle_core.routing.table import TableBook
 
@@ -17,10 +18,13 @@
     from cactussaddle_core.fleet.leaf import Leaf
     from cactussaddle_core.limits.budget import BudgetRules
     from cactussaddle_core.limits.cold import ColdRules
+    from cactussaddle_core.spread.model import Member
 
 # Nodes assumed until the members are known: too many make the shares small, not wrong.
 UNKNOWN_MEMBERS = 16
 HOUSEKEEPING_S = 0.1
+WARM_CONNECTIONS = 1
+FIRST_PROBE_SPREAD_S = 1.0
 
 
 class EdgeIdentity(NamedTuple):
@@ -47,7 +51,8 @@
         self.tables = TableBook()
         self.splits = SplitBook()
         self.fleet = Fleet()
-        self.members: tuple[str, ...] = ()
+        self.members: dict[str, Member] = {}
+        self.member_counts = MemberCounts()
         self.store_up = False
         self.stopping = Stopping()
         self.housekeeping_at = 0.0
@@ -76,23 +81,46 @@
         """Return when the next tick is due."""
         return min(self.housekeeping_at, self.fanout.next_due())
 
-    def connections_to(self, leaf: Leaf) -> int:
+    def connections_to(self, leaf: Leaf, now: float) -> int:
         """Return how many connections this node may have to a leaf."""
         table = self.tables.table
         spec = table.services.get(leaf.entry.service) if table is not None else None
         if spec is None:
             return 1
-        return max(1, spec.max_connections // self.member_count())
+        return max(1, spec.max_connections // self.member_count(now))
 
-    def member_count(self) -> int:
+    def warm_connections(self, leaf: Leaf) -> int:
+        """Return how many connections to a leaf are opened before they are needed.
+
+        Only leaves of the own region get most of the calls; elsewhere idle connections would take
+        room under the leaf's limit from the nodes that need them.
+        """
+        return WARM_CONNECTIONS if self._is_near(leaf) else 0
+
+    def plan_first_probe(self, leaf: Leaf, now: float) -> None:
+        """Have a leaf that this node will call often probed once, to learn its usual time."""
+        if self._is_near(leaf):
+            leaf.probe_at = now + FIRST_PROBE_SPREAD_S * self.fanout.rng.random()
+
+    def set_members(self, members: dict[str, Member], now: float) -> None:
+        """Take in which nodes are registered."""
+        self.members = members
+        self.member_counts.saw(len(members), now)
+        self.budget.nodes = self.member_count(now)
+
+    def member_count(self, now: float) -> int:
         """Return by how many nodes the common bounds are divided."""
-        return len(self.members) or UNKNOWN_MEMBERS
+        return self.member_counts.most(now) or UNKNOWN_MEMBERS
+
+    def _is_near(self, leaf: Leaf) -> bool:
+        region_of = self.me.region_of
+        return region_of.get(leaf.entry.domain) == region_of.get(self.me.domain)
 
     def _may_warm(self, leaf: Leaf, now: float) -> bool:
         table = self.tables.table
         spec = table.services.get(leaf.entry.service) if table is not None else None
         if spec is None or spec.cold_rate <= 0.0:
             return True
-        members = self.members or (self.me.node,)
+        members = sorted(self.members) or [self.me.node]
         most = calls_per_second(self.rules.cold, spec.cold_rate, leaf.name, self.me.node, members)
         return leaf.cold_meter.count(now) < most
--- a/packages/cactussaddle-core/src/cactussaddle_core/fleet/book.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fleet/book.py
@@ -48,28 +48,30 @@
             self._store_out = False
             self._store_back_at = now
 
-    def listed(self, entries: Iterable[LeafEntry], now: float) -> None:
-        """Take in a complete listing."""
+    def listed(self, entries: Iterable[LeafEntry], now: float) -> list[Leaf]:
+        """Take in a complete listing; return the leaves that are new starts."""
         found = {entry.leaf: entry for entry in entries}
-        for entry in found.values():
-            self.changed(entry, now)
+        started = [self.changed(entry, now) for entry in found.values()]
         for name in [name for name in self.leaves if name not in found]:
             self.removed(name, now)
         self.loaded = True
+        return [leaf for leaf in started if leaf is not None]
 
-    def changed(self, entry: LeafEntry, now: float) -> None:
-        """Take in one entry, new or changed."""
+    def changed(self, entry: LeafEntry, now: float) -> Leaf | None:
+        """Take in one entry, new or changed; return the leaf if it is a new start of one."""
         leaf = self.leaves.get(entry.leaf)
         if leaf is not None and _is_older(entry, leaf.entry):
-            return
+            return None
         if leaf is None or _restarted(leaf.entry, entry):
-            self._put(Leaf(entry=entry, now=now))
-            return
+            started = Leaf(entry=entry, now=now)
+            self._put(started)
+            return started
         if entry.cold_left_s != leaf.entry.cold_left_s:
             leaf.grew_cold(entry.cold_left_s, now)
         leaf.entry = entry
         leaf.listed = True
         leaf.unlisted_at = math.inf
+        return None
 
     def removed(self, name: str, now: float) -> None:
         """Take in that an entry is gone."""
--- a/packages/cactussaddle-core/src/cactussaddle_core/fleet/leaf.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fleet/leaf.py
@@ -18,6 +18,12 @@
 MAX_SLOWNESS = 30.0
 # A leaf that has not been called for this long is taken to be half as far from usual speed.
 SLOWNESS_HALF_LIFE_S = 2.5
+# A call this many times slower than usual asks for a probe, a probe that much slower shows a slow
+# leaf: a pause or one long piece of work is over by then.
+SLOW_RATIO = 2.5
+# What a probe has shown holds for this long; a slow leaf is probed again before.
+PROBE_HOLDS_S = 1.2
+SLOW_PROBE_EVERY_S = 0.5
 # Weight of the newest call in the share of calls that a leaf refuses or fails.
 FAULT_WEIGHT = 0.3
 FAULT_HALF_LIFE_S = 2.0
@@ -48,6 +54,9 @@
         self.suspicion_s = FIRST_SUSPICION_S
         self.probe_at = math.inf
         self.heard_at = -math.inf
+        self.least_probe_s: float | None = None
+        self._probed_slowness = 1.0
+        self._probed_at = -math.inf
         self._slowness = 1.0
         self._slowness_at = now
         self._faults = 0.0
@@ -74,13 +83,32 @@
     def slowness(self, now: float) -> float:
         """Return the slowness, which fades towards 1 while nothing is heard."""
         aged = max(0.0, now - self._slowness_at) / SLOWNESS_HALF_LIFE_S
-        return 1.0 + (self._slowness - 1.0) * math.pow(0.5, aged)
+        faded = 1.0 + (self._slowness - 1.0) * math.pow(0.5, aged)
+        if now - self._probed_at < PROBE_HOLDS_S:
+            return max(faded, self._probed_slowness)
+        return faded
 
     def saw_slowness(self, ratio: float, now: float, weight: float = SLOWNESS_WEIGHT) -> None:
         """Take in a call that took `ratio` times the usual time."""
         before = self.slowness(now)
         self._slowness = before + weight * (min(ratio, MAX_SLOWNESS) - before)
         self._slowness_at = now
+        if ratio >= SLOW_RATIO and not self.probed_lately(now):
+            self.probe_at = min(self.probe_at, now)
+
+    def probed_lately(self, now: float) -> bool:
+        """Return whether a probe has just told how slow the leaf is."""
+        return now - self._probed_at < SLOW_PROBE_EVERY_S
+
+    def probed(self, ratio: float, now: float) -> None:
+        """Take in a probe that took `ratio` times the usual time: it tells the speed by itself."""
+        self._probed_at = now
+        self._probed_slowness = min(ratio, MAX_SLOWNESS)
+        if ratio >= SLOW_RATIO:
+            self.probe_at = now + SLOW_PROBE_EVERY_S
+        else:
+            self._slowness = min(self.slowness(now), SLOW_RATIO)
+            self._slowness_at = now
 
     def faults(self, now: float) -> float:
         """Return the share of calls that were refused or failed, fading while nothing is heard."""
@@ -99,7 +127,6 @@
         self.standing = Standing.READY
         self.suspect_until = 0.0
         self.suspicion_s = FIRST_SUSPICION_S
-        self.probe_at = math.inf
 
     def suspect(self, standing: Standing, now: float) -> None:
         """Avoid the leaf for a while, longer each time in a row, and ask for its health then."""
--- a/packages/cactussaddle-core/src/cactussaddle_core/fleet/probing.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fleet/probing.py
@@ -18,12 +18,13 @@
     """A leaf's answer to a probe.
 
     `leaf` is the id of whoever answered, empty when nobody did; `cold_left_s` is None where the
-    answer doesn't tell.
+    answer doesn't tell. `work_s` is the time that the answer took beyond the round trips.
     """
 
     leaf: str
     healthy: bool
     cold_left_s: float | None
+    work_s: float
 
 
 def due_probes(fleet: Fleet, now: float) -> list[Leaf]:
@@ -50,3 +51,19 @@
     if health.cold_left_s is not None:
         leaf.grew_cold(health.cold_left_s, now)
     leaf.answered(now)
+    usual_s = _usual_probe_s(fleet, leaf)
+    if usual_s is not None:
+        leaf.probed(health.work_s / usual_s, now)
+    leaf.least_probe_s = min(health.work_s, leaf.least_probe_s or health.work_s)
+
+
+def _usual_probe_s(fleet: Fleet, leaf: Leaf) -> float | None:
+    """Return the usual time of a probe: the leaf's own least, or that of others of its size."""
+    if leaf.least_probe_s is not None:
+        return leaf.least_probe_s
+    alike = [
+        other.least_probe_s
+        for other in fleet.leaves.values()
+        if other.least_probe_s is not None and other.entry.slots == leaf.entry.slots
+    ]
+    return min(alike, default=None)
--- /dev/null
+++ b/packages/cactussaddle-core/src/cactussaddle_core/spread/log.py
@@ -0,0 +1,58 @@
+"""The records that this node knows, and the changes of late, for nodes that follow it."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+from cactussaddle_core.spread.model import Batch
+from cactussaddle_core.spread.model import Record
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+MAX_CHANGES = 2000
+
+
+class RecordLog:
+    """Every key's newest record, and a bounded log of changes in order of revision."""
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self._newest: dict[str, Record] = {}
+        self._changes: deque[Record] = deque()
+        self._complete_since = 0
+
+    def replace(self, records: Iterable[Record], revision: int) -> None:
+        """Take in all keys there are."""
+        self._newest = {record.key: record for record in records}
+        self._changes.clear()
+        self._complete_since = revision
+        self.revision = revision
+
+    def add(self, records: Iterable[Record], revision: int) -> list[Record]:
+        """Take in changes up to `revision`; return those that are news here."""
+        news = [record for record in records if self._is_news(record)]
+        for record in news:
+            if record.value is None:
+                self._newest.pop(record.key, None)
+            else:
+                self._newest[record.key] = record
+            self._changes.append(record)
+        while len(self._changes) > MAX_CHANGES:
+            self._complete_since = self._changes.popleft().revision
+        self.revision = max(self.revision, revision)
+        return news
+
+    def since(self, revision: int, age_s: float) -> Batch:
+        """Return what has changed since a revision, or every key when that is too long ago."""
+        if revision < self._complete_since:
+            return Batch(tuple(self._newest.values()), self.revision, True, age_s)
+        changes = tuple(record for record in self._changes if record.revision > revision)
+        return Batch(changes, self.revision, False, age_s)
+
+    def _is_news(self, record: Record) -> bool:
+        known = self._newest.get(record.key)
+        if known is not None:
+            return record.revision > known.revision
+        return record.revision > self.revision or record.value is not None
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/daemon.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/daemon.py
@@ -11,6 +11,7 @@
 
 import trio
 
+from cactussaddle_common.http.channel import Address
 from cactussaddle_core.codes import ResultCode
 from cactussaddle_core.edge import effects as fx
 from cactussaddle_core.edge import events as ev
@@ -30,19 +31,26 @@
 from cactussaddle_node.edge.listener import Listener
 from cactussaddle_node.edge.pages import Pages
 from cactussaddle_node.edge.pages import PageSources
+from cactussaddle_node.edge.peerwire import PeerClient
+from cactussaddle_node.edge.peerwire import PeerServer
 from cactussaddle_node.edge.register import RegisterHooks
 from cactussaddle_node.edge.register import register
 from cactussaddle_platform import callers
 from cactussaddle_platform import leaves
+from cactussaddle_platform import registry
 from cactussaddle_platform.kv import KvStore
 from cactussaddle_platform.names import READY_PATH
+from cactussaddle_platform.registry import NodeEntry
 from cactussaddle_platform.registry import StoreFeed
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from cactussaddle_common.http.message import Answer
     from cactussaddle_common.http.requestreader import IncomingRequest
     from cactussaddle_core.invariants import Breach
     from cactussaddle_core.routing.model import CallerLimits
+    from cactussaddle_core.spread.tree import Place
     from cactussaddle_node.edge.caller import CallerConnection
     from cactussaddle_platform.settings import HostSettings
 
@@ -64,6 +72,7 @@
         self.leaf_caller = LeafCaller(
             nursery=nursery, wire=leaves, local_host=cfg.ip, feed=self.feed
         )
+        self.place_changed: Callable[[Place], None] | None = None
         self.stopped = trio.Event()
         self.breaches = 0
         self._events: deque[ev.Event] = deque()
@@ -181,6 +190,10 @@
         if self._listener is not None:
             self._listener.close_idle()
 
+    def _set_place(self, effect: fx.SetPlace) -> None:
+        if self.place_changed is not None:
+            self.place_changed(effect.place)
+
     def _end_process(self, effect: fx.EndProcess) -> None:
         self.stopped.set()
 
@@ -195,6 +208,7 @@
     fx.KeepConnections: lambda daemon, effect: daemon.leaf_caller.keep(effect.leaves),
     fx.Note: EdgeDaemon.note,
     fx.CloseIdle: EdgeDaemon._close_idle,
+    fx.SetPlace: EdgeDaemon._set_place,
     fx.EndProcess: EdgeDaemon._end_process,
 }
 
@@ -216,13 +230,29 @@
         sources = PageSources(daemon.state.is_ready, daemon.dump, daemon.metrics)
         pages = Pages(ready_path=READY_PATH, sources=sources)
         store = KvStore(address=cfg.store.address._replace(local_host=cfg.ip), nursery=nursery)
-        for address, hooks in _listeners(cfg, daemon, pages):
+        follower = Follower(
+            store=StoreFeed(store=store),
+            peers=PeerClient(nursery=nursery, local_host=cfg.ip),
+            decoder=registry,
+            feed=daemon.feed,
+        )
+        daemon.place_changed = follower.choice.set_place
+        peer_server = PeerServer(follower=follower, nursery=nursery)
+        for address, hooks in _listeners(cfg, daemon, pages, peer_server):
             listener = Listener(address=address, nursery=nursery, hooks=hooks)
             nursery.start_soon(listener.accept)
         nursery.start_soon(daemon.run_timers)
-        follower = Follower(source=StoreFeed(store=store), feed=daemon.feed)
         nursery.start_soon(follower.run)
-        nursery.start_soon(register, store, cfg, RegisterHooks(daemon.note, follower.interrupt))
+        nursery.start_soon(
+            register,
+            NodeEntry(store=store, cfg=cfg),
+            RegisterHooks(
+                note=daemon.note,
+                answered=follower.confirm,
+                unanswered=follower.interrupt,
+                reads_store=lambda: follower.choice.reads_store,
+            ),
+        )
         nursery.start_soon(_watch_signals, daemon)
         await daemon.stopped.wait()
         daemon.note(fx.Note("stopped", {}))
@@ -230,10 +260,13 @@
         nursery.cancel_scope.cancel()
 
 
-def _listeners(cfg: HostSettings, daemon: EdgeDaemon, pages: Pages) -> list[tuple[Any, Any]]:
+def _listeners(
+    cfg: HostSettings, daemon: EdgeDaemon, pages: Pages, peer_server: PeerServer
+) -> list[tuple[Any, Any]]:
     listeners: list[tuple[Any, Any]] = [
         (cfg.callers, daemon.hooks),
         (cfg.readiness, pages.hooks),
+        (Address(cfg.ip, cfg.peer_port), peer_server.hooks),
     ]
     if cfg.admin is not None:
         listeners.append((cfg.admin, pages.hooks))
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/follow.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/follow.py
@@ -1,12 +1,15 @@
-"""Follows the store for as long as the process runs: a listing, then changes as they come.
+"""Follows what the store holds, over other nodes or by reading the store itself.
 
-A watch whose answer was lost never returns, and its connection shows no sign of it. So the lease
-of this node's entry, which is renewed often, tells whether the store answers: when a renewal
-fails, the watch is given up and the store is asked again until it answers.
+A watch at the store whose answer was lost never returns, and its connection shows no sign of it.
+So the lease of this node's entry, which a reader renews often, tells whether the store answers:
+when a renewal fails, the watch is given up and the store is asked again until it answers. A node
+that is followed answers within a short wait, news or not, so its silence shows by itself.
 """
 
 from __future__ import annotations
 
+import math
+
 from typing import TYPE_CHECKING
 from typing import Protocol
 
@@ -15,6 +18,9 @@
 from returns.result import Failure
 
 from cactussaddle_core.edge import events as ev
+from cactussaddle_core.spread.choice import STALE_S
+from cactussaddle_core.spread.choice import SourceChoice
+from cactussaddle_core.spread.log import RecordLog
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -22,8 +28,11 @@
     from returns.result import Result
 
     from cactussaddle_common.storeapi import StoreError
+    from cactussaddle_core.spread.model import Batch
+    from cactussaddle_core.spread.model import Member
+    from cactussaddle_core.spread.model import Record
 
-# A change is waited for this long before the store is asked again.
+# A change at the store is waited for this long before it is asked again.
 WAIT_S = 20.0
 # Changes that come together are read together.
 PACE_S = 0.15
@@ -31,39 +40,82 @@
 MAX_RETRY_S = 0.8
 
 
-class Feed(Protocol):
-    """The store as events of the node."""
+class StoreSource(Protocol):
+    """The store itself."""
 
-    async def listing(self) -> Result[tuple[list[ev.Event], int], StoreError]:
-        """Read everything: its events and the revision to follow from."""
+    async def listing(self) -> Result[Batch, StoreError]:
+        """Read everything."""
         ...
 
-    async def changes(
-        self, after: int, wait_s: float
-    ) -> Result[tuple[list[ev.Event], int] | None, StoreError]:
+    async def changes(self, after: int, wait_s: float) -> Result[Batch | None, StoreError]:
         """Wait for changes after a revision; None when they are no longer kept."""
         ...
 
 
-class Follower:
-    """Reads the store and feeds what it says; `interrupt` has it ask anew at once."""
+class PeerSource(Protocol):
+    """Other nodes."""
+
+    async def changes(self, member: Member, after: int) -> Result[Batch, StoreError]:
+        """Ask a node for changes after a revision; it answers within a short wait."""
+        ...
+
+
+class Decoder(Protocol):
+    """Reads records as events of the node."""
 
-    def __init__(self, *, source: Feed, feed: Callable[[ev.Event], None]) -> None:
-        self._source = source
+    def read_listing(self, records: tuple[Record, ...]) -> list[ev.Event]:
+        """Return everything there is as events."""
+        ...
+
+    def read_change(self, record: Record) -> list[ev.Event]:
+        """Return what one changed key says."""
+        ...
+
+
+class Follower:
+    """Reads the store or a node that does, and feeds what is new.
+
+    `interrupt` has it ask the store anew at once; `changed` is set whenever something is new.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: StoreSource,
+        peers: PeerSource,
+        decoder: Decoder,
+        feed: Callable[[ev.Event], None],
+    ) -> None:
+        self.log = RecordLog()
+        self.choice = SourceChoice()
+        self.changed = trio.Event()
+        self.confirmed_at = -math.inf
+        self._store = store
+        self._peers = peers
+        self._decoder = decoder
         self._feed = feed
-        self._revision: int | None = None
+        self._loaded = False
         self._sure = False
         self._waiting: trio.CancelScope | None = None
 
+    def age_s(self, now: float) -> float:
+        """Return how long ago the store confirmed what is known here."""
+        return now - self.confirmed_at
+
+    def confirm(self) -> None:
+        """Take in that the store answers and has told of every change."""
+        if self._sure:
+            self.confirmed_at = trio.current_time()
+
     def interrupt(self, reason: str) -> None:
-        """Give up a watch that may be lost."""
+        """Give up a watch at the store that may be lost."""
         if self._waiting is not None:
             self._feed(ev.StoreLost(reason))
             self._sure = False
             self._waiting.cancel()
 
     async def run(self) -> None:
-        """Follow the store until cancelled."""
+        """Follow until cancelled."""
         retry_s = FIRST_RETRY_S
         while True:
             if await self._step():
@@ -74,34 +126,68 @@
                 retry_s = min(MAX_RETRY_S, 2.0 * retry_s)
 
     async def _step(self) -> bool:
-        """Read once; return whether the store answered."""
-        outcome = await self._read()
+        """Ask the source once; return whether it answered with what is fresh."""
+        member = self.choice.pick(trio.current_time())
+        outcome = await self._ask(member)
+        now = trio.current_time()
         if outcome is None:
+            self.choice.failed(member, now)
             return False
         if isinstance(outcome, Failure):
             self._sure = False
+            self.choice.failed(member, now)
             self._feed(ev.StoreLost(outcome.failure().detail))
             return False
-        self._sure = True
-        self._feed(ev.StoreBack())
-        found = outcome.unwrap()
-        if found is None:
-            self._revision = None
+        batch = outcome.unwrap()
+        if batch is None:
+            self._loaded = False
             return True
-        events, self._revision = found
-        for event in events:
-            self._feed(event)
+        return self._take(member, batch, now)
+
+    def _take(self, member: Member | None, batch: Batch, now: float) -> bool:
+        self._sure = member is None
+        self._apply(batch)
+        if batch.age_s > STALE_S:
+            self.choice.failed(member, now)
+            self._feed(ev.StoreLost(f"nothing new for {batch.age_s:.1f} s"))
+            return False
+        self.confirmed_at = max(self.confirmed_at, now - batch.age_s)
+        self.choice.answered(member)
+        self._feed(ev.StoreBack())
         return True
 
-    async def _read(self) -> Result[tuple[list[ev.Event], int] | None, StoreError] | None:
-        """Read a listing or changes; None when interrupted."""
-        if self._revision is None:
-            return await self._source.listing()
+    async def _ask(self, member: Member | None) -> Result[Batch | None, StoreError] | None:
+        """Ask a source; None when interrupted."""
+        if member is not None:
+            asked = await self._peers.changes(member, self.log.revision if self._loaded else -1)
+            return asked.map(_optional)
+        if not self._loaded:
+            return (await self._store.listing()).map(_optional)
         if not self._sure:
-            return await self._source.changes(self._revision, 0.0)
+            return await self._store.changes(self.log.revision, 0.0)
         with trio.CancelScope() as self._waiting:
             try:
-                return await self._source.changes(self._revision, WAIT_S)
+                return await self._store.changes(self.log.revision, WAIT_S)
             finally:
                 self._waiting = None
         return None
+
+    def _apply(self, batch: Batch) -> None:
+        if batch.whole and (not self._loaded or batch.revision > self.log.revision):
+            self.log.replace(batch.records, batch.revision)
+            self._loaded = True
+            events = self._decoder.read_listing(batch.records)
+        elif batch.whole:
+            return
+        else:
+            news = self.log.add(batch.records, batch.revision)
+            events = [event for record in news for event in self._decoder.read_change(record)]
+        for event in events:
+            self._feed(event)
+        if events:
+            changed, self.changed = self.changed, trio.Event()
+            changed.set()
+
+
+def _optional(batch: Batch) -> Batch | None:
+    return batch
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/leafcaller.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/leafcaller.py
@@ -24,14 +24,14 @@
 
     from cactussaddle_common.http.channel import Channel
     from cactussaddle_common.http.channel import ExchangeEnd
+    from cactussaddle_core.edge.effects import Connections
     from cactussaddle_core.fanout.state import Call
     from cactussaddle_core.fleet.leaf import Leaf
     from cactussaddle_node.edge.wire import LeafWire
 
 CONNECT_TIMEOUT_S = 1.0
 PROBE_TIMEOUT_S = 0.8
-WARM_CONNECTIONS = 1
-NO_ANSWER = Health(leaf="", healthy=False, cold_left_s=None)
+NO_ANSWER = Health(leaf="", healthy=False, cold_left_s=None, work_s=0.0)
 
 
 class LeafCaller:
@@ -53,18 +53,18 @@
         self._leaving: list[Pool] = []
         self._channels: dict[int, Channel] = {}
 
-    def keep(self, leaves: tuple[tuple[Leaf, int], ...]) -> None:
-        """Keep pools of exactly these leaves, each with at most so many connections."""
-        wanted = {leaf.name: (leaf, most) for leaf, most in leaves}
+    def keep(self, leaves: tuple[Connections, ...]) -> None:
+        """Keep pools of exactly these leaves."""
+        wanted = {kept.leaf.name: kept for kept in leaves}
         for name, pool in list(self._pools.items()):
-            leaf_most = wanted.get(name)
-            if leaf_most is None or pool.address != self._address(leaf_most[0]):
+            kept = wanted.get(name)
+            if kept is None or pool.address != self._address(kept.leaf):
                 pool.close()
                 self._leaving.append(self._pools.pop(name))
-        for leaf, most in wanted.values():
-            pool = self._pool(leaf)
-            pool.most = most
-            pool.warm(WARM_CONNECTIONS)
+        for kept in leaves:
+            pool = self._pool(kept.leaf)
+            pool.most = kept.most
+            pool.warm(kept.warm)
 
     def send(self, call: Call, deadline_s: float) -> None:
         """Send a call; `deadline_s` is what is left of the caller's time."""
@@ -130,12 +130,15 @@
 
     async def _probe(self, leaf: Leaf, health_path: str) -> None:
         health = NO_ANSWER
+        trips: list[float] = []
+        started = trio.current_time()
         async with trio.open_nursery() as nursery:
-            settings = PoolSettings(1, CONNECT_TIMEOUT_S, _ignore_time)
+            settings = PoolSettings(1, CONNECT_TIMEOUT_S, trips.append)
             pool = Pool(address=self._address(leaf), nursery=nursery, settings=settings)
             end = await fetch(pool, self._wire.encode_probe(leaf, health_path), PROBE_TIMEOUT_S)
             if end.response is not None:
-                health = self._wire.decode_health(end.response)
+                took_s = trio.current_time() - started
+                health = self._wire.decode_health(end.response, took_s - 2.0 * sum(trips))
             pool.abort()
         self._feed(ev.ProbeEnded(leaf.name, health))
 
@@ -146,7 +149,3 @@
     if loss is Loss.CANCELLED:
         return CallEnding.CANCELLED
     return CallEnding.BROKEN
-
-
-def _ignore_time(took_s: float) -> None:
-    """Take no note of the time that a connection took."""
--- /dev/null
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/peerwire.py
@@ -0,0 +1,137 @@
+"""What nodes ask one another: changes of the store's records, as MessagePack over HTTP."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from urllib.parse import parse_qs
+
+import msgspec
+import trio
+
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from cactussaddle_common.http.channel import Address
+from cactussaddle_common.http.fetch import fetch
+from cactussaddle_common.http.message import Answer
+from cactussaddle_common.http.message import RequestHead
+from cactussaddle_common.http.message import encode_request
+from cactussaddle_common.http.pool import Pool
+from cactussaddle_common.http.pool import PoolSettings
+from cactussaddle_common.storeapi import StoreError
+from cactussaddle_common.storeapi import StoreErrorKind
+from cactussaddle_core.routing.model import DEFAULT_CALLER_LIMITS
+from cactussaddle_core.spread.model import Batch
+from cactussaddle_node.edge.caller import CallerHooks
+
+if TYPE_CHECKING:
+    from cactussaddle_common.http.requestreader import IncomingRequest
+    from cactussaddle_core.spread.model import Member
+    from cactussaddle_node.edge.caller import CallerConnection
+    from cactussaddle_node.edge.follow import Follower
+    from cactussaddle_node.edge.listener import Listener
+
+PATH = b"/records"
+CONNECT_TIMEOUT_S = 0.5
+# A node that is asked answers after this long also without news: that it lives is news enough.
+ANSWER_WITHIN_S = 0.7
+# Beyond that, the way there and back and the load of a slow host.
+SPARE_S = 0.7
+NO_HISTORY = -1
+OK = 200
+
+_decoder = msgspec.msgpack.Decoder(Batch)
+_encoder = msgspec.msgpack.Encoder()
+
+
+class PeerClient:
+    """Asks other nodes, each over a kept connection."""
+
+    def __init__(self, *, nursery: trio.Nursery, local_host: str) -> None:
+        self._nursery = nursery
+        self._local_host = local_host
+        self._pools: dict[Address, Pool] = {}
+
+    async def changes(self, member: Member, after: int) -> Result[Batch, StoreError]:
+        """Ask a node for changes after a revision."""
+        address = Address(member.host, member.port, self._local_host)
+        target = b"%s?after=%d" % (PATH, after)
+        host = f"{member.host}:{member.port}".encode("ascii")
+        data = encode_request(RequestHead(b"GET", target, ((b"Host", host),)), b"")
+        end = await fetch(self._pool(address), data, ANSWER_WITHIN_S + SPARE_S)
+        if end.response is None or end.response.status != OK:
+            reason = f"{member.node}: {end.loss.value if end.loss else 'not loaded'} {end.detail}"
+            return Failure(StoreError(StoreErrorKind.UNAVAILABLE, reason.strip()))
+        try:
+            return Success(_decoder.decode(end.response.body))
+        except (msgspec.ValidationError, msgspec.DecodeError) as exc:
+            return Failure(StoreError(StoreErrorKind.UNKNOWN, f"{member.node}: {exc}"))
+
+    def _pool(self, address: Address) -> Pool:
+        pool = self._pools.get(address)
+        if pool is None:
+            self._close_others(address)
+            settings = PoolSettings(1, CONNECT_TIMEOUT_S, _ignore_time)
+            pool = self._pools[address] = Pool(
+                address=address, nursery=self._nursery, settings=settings
+            )
+        return pool
+
+    def _close_others(self, address: Address) -> None:
+        for other in list(self._pools):
+            if other != address:
+                self._pools.pop(other).abort()
+
+
+class PeerServer:
+    """Answers other nodes; one that knows everything waits for news for a short time."""
+
+    def __init__(self, *, follower: Follower, nursery: trio.Nursery) -> None:
+        self._follower = follower
+        self._nursery = nursery
+        self._next_id = 0
+
+    def hooks(self, listener: Listener) -> CallerHooks:
+        """Return what connections of a listener for other nodes tell."""
+        return CallerHooks(
+            next_id=self._take_id,
+            arrived=self._arrived,
+            gone=_ignore,
+            ended=listener.connections.discard,
+            stopping=_never,
+            limits=lambda: DEFAULT_CALLER_LIMITS,
+        )
+
+    def _take_id(self) -> int:
+        self._next_id += 1
+        return self._next_id
+
+    def _arrived(self, number: int, connection: CallerConnection, request: IncomingRequest) -> None:
+        path, _, query = request.head.target.partition(b"?")
+        after = parse_qs(query).get(b"after", [b""])[0]
+        if path != PATH or not after.lstrip(b"-").isdigit():
+            connection.answer(Answer(404, (), b"no such page"))
+        elif not self._follower.log.revision:
+            connection.answer(Answer(503, (), b"nothing known yet"))
+        else:
+            self._nursery.start_soon(self._answer, connection, int(after))
+
+    async def _answer(self, connection: CallerConnection, after: int) -> None:
+        if self._follower.log.revision <= after:
+            with trio.move_on_after(ANSWER_WITHIN_S):
+                await self._follower.changed.wait()
+        batch = self._follower.log.since(after, self._follower.age_s(trio.current_time()))
+        connection.answer(Answer(OK, (), _encoder.encode(batch)))
+
+
+def _ignore(number: int) -> None:
+    """A node that has left gets its answer on a closed connection, where it is dropped."""
+
+
+def _never() -> bool:
+    return False
+
+
+def _ignore_time(took_s: float) -> None:
+    """Take no note of the time that a connection took."""
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/register.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/register.py
@@ -4,73 +4,75 @@
 
 from typing import TYPE_CHECKING
 from typing import NamedTuple
+from typing import Protocol
 
-import msgspec
 import trio
 
 from returns.result import Failure
 
 from cactussaddle_core.edge.effects import Note
-from cactussaddle_platform.kv import Put
-from cactussaddle_platform.names import NODE_PREFIX
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from cactussaddle_platform.kv import KvStore
-    from cactussaddle_platform.settings import HostSettings
+    from returns.result import Result
+
+    from cactussaddle_common.storeapi import StoreError
 
 LEASE_S = 9.0
-# Renewals also tell whether the store answers, so they are more frequent than the lease needs.
+# A node that reads the store renews more often than the lease needs: it shows that the store answers.
 KEEP_EVERY_S = 1.0
+KEEP_SELDOM_S = 3.0
 KEEP_TIMEOUT_S = 0.8
 RETRY_S = 0.5
 
 
-class NodeRecord(NamedTuple):
-    """What a node says of itself."""
+class Leases(Protocol):
+    """The store as far as a node's entry goes."""
+
+    async def enter(self, lasts_s: float) -> Result[int, StoreError]:
+        """Write the entry under a new lease; return the lease."""
+        ...
 
-    ip: str
-    domain: str
+    async def keep_lease(self, lease: int, timeout_s: float) -> Result[bool, StoreError]:
+        """Renew a lease; False when it has ended."""
+        ...
 
 
 class RegisterHooks(NamedTuple):
-    """`note` takes log lines, `unanswered` the reason why a renewal failed."""
+    """`note` takes log lines; `answered` hears of each renewal, `unanswered` why one failed.
+
+    `reads_store` says whether this node reads the store for others.
+    """
 
     note: Callable[[Note], None]
+    answered: Callable[[], None]
     unanswered: Callable[[str], None]
+    reads_store: Callable[[], bool]
 
 
-async def register(store: KvStore, cfg: HostSettings, hooks: RegisterHooks) -> None:
+async def register(store: Leases, hooks: RegisterHooks) -> None:
     """Register, renew, and register again whenever the lease has ended."""
-    value = msgspec.json.encode(NodeRecord(cfg.ip, cfg.domain))
     while True:
-        lease = await _enter(store, NODE_PREFIX + cfg.node, value)
-        if lease is None:
+        entered = await store.enter(LEASE_S)
+        if isinstance(entered, Failure):
+            hooks.note(Note("not_registered", {"reason": entered.failure().detail}))
             await trio.sleep(RETRY_S)
             continue
+        lease = entered.unwrap()
         hooks.note(Note("registered", {"lease": lease}))
         await _keep(store, lease, hooks)
         hooks.note(Note("registration_lost", {"lease": lease}))
 
 
-async def _enter(store: KvStore, key: str, value: bytes) -> int | None:
-    opened = await store.open_lease(LEASE_S)
-    if isinstance(opened, Failure):
-        return None
-    lease = opened.unwrap().lease
-    written = await store.write([], [Put(key, value, lease)], [])
-    if isinstance(written, Failure) or not written.unwrap().done:
-        return None
-    return lease
-
-
-async def _keep(store: KvStore, lease: int, hooks: RegisterHooks) -> None:
+async def _keep(store: Leases, lease: int, hooks: RegisterHooks) -> None:
     """Renew the lease until the store says that it has ended."""
     while True:
-        await trio.sleep(KEEP_EVERY_S)
+        await trio.sleep(KEEP_EVERY_S if hooks.reads_store() else KEEP_SELDOM_S)
         kept = await store.keep_lease(lease, KEEP_TIMEOUT_S)
         if isinstance(kept, Failure):
             hooks.unanswered(f"renewal: {kept.failure().detail}")
-        elif not kept.unwrap():
+        elif kept.unwrap():
+            hooks.answered()
+        else:
             return
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/wire.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/wire.py
@@ -37,8 +37,8 @@
         """Return the bytes of a health probe."""
         ...
 
-    def decode_health(self, response: Response) -> Health:
-        """Return what a response to a health probe says."""
+    def decode_health(self, response: Response, work_s: float) -> Health:
+        """Return what a response to a health probe says, and that it took `work_s`."""
         ...
 
 
