Hints of leaves in trouble between the nodes of a region; calls fall overdue by their leaf's speed

Cause: each of 67 nodes found out by itself which leaves are slow or down, a call of each on the way; and a call at a fast leaf was hedged as late as one at a slow leaf, since all leaves of a route shared one sketch. Change: what a probe or a failed connection shows goes to the nodes of the region by datagram; of the nodes that know, one probes next by chance and tells the others. A call is overdue after the 92nd percentile of the calls' times relative to the route and the leaf. Connections and pools are gone through ten times a second, not at every change and tick.

--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/effects.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/effects.py
@@ -10,7 +10,9 @@
 from cactussaddle_core.fanout.model import FanoutEffect
 
 if TYPE_CHECKING:
+    from cactussaddle_core.fleet.hints import Hint
     from cactussaddle_core.fleet.leaf import Leaf
+    from cactussaddle_core.spread.model import Member
     from cactussaddle_core.spread.tree import Place
 
 
@@ -41,6 +43,13 @@
     place: Place
 
 
+class TellHints(NamedTuple):
+    """Tell the members of news of leaves; some may not hear it."""
+
+    members: tuple[Member, ...]
+    hints: tuple[Hint, ...]
+
+
 class CloseIdle(NamedTuple):
     """Close the callers' connections as they fall idle."""
 
@@ -49,4 +58,6 @@
     """End the process."""
 
 
-Effect: TypeAlias = FanoutEffect | KeepConnections | Note | SetPlace | CloseIdle | EndProcess
+Effect: TypeAlias = (
+    FanoutEffect | KeepConnections | Note | SetPlace | TellHints | CloseIdle | EndProcess
+)
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/events.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/events.py
@@ -9,6 +9,7 @@
 if TYPE_CHECKING:
     from cactussaddle_core.fanout.model import CallEnd
     from cactussaddle_core.fanout.model import CallerRequest
+    from cactussaddle_core.fleet.hints import Hint
     from cactussaddle_core.fleet.model import LeafEntry
     from cactussaddle_core.fleet.probing import Health
     from cactussaddle_core.routing.table import RoutingTable
@@ -108,6 +109,12 @@
     members: tuple[Member, ...]
 
 
+class HintsHeard(NamedTuple):
+    """Another node has told of leaves."""
+
+    hints: tuple[Hint, ...]
+
+
 class RecordRejected(NamedTuple):
     """A record in the store can't be read."""
 
@@ -151,6 +158,7 @@
     | MemberSeen
     | MemberGone
     | MembersListed
+    | HintsHeard
     | RecordRejected
     | StoreLost
     | StoreBack
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/reduce.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/reduce.py
@@ -13,10 +13,12 @@
 from cactussaddle_core.edge.effects import KeepConnections
 from cactussaddle_core.edge.effects import Note
 from cactussaddle_core.edge.effects import SetPlace
+from cactussaddle_core.edge.effects import TellHints
 from cactussaddle_core.edge.state import HOUSEKEEPING_S
 from cactussaddle_core.fanout import reduce as fanout
 from cactussaddle_core.fanout.model import Declined
 from cactussaddle_core.fanout.model import ProbeLeaf
+from cactussaddle_core.fleet.hints import take_hints
 from cactussaddle_core.fleet.probing import due_probes
 from cactussaddle_core.fleet.probing import probe_ended
 from cactussaddle_core.spread.tree import place_of
@@ -88,15 +90,16 @@
     if not state.tables.offer(event.table):
         return []
     note = Note("table", {"version": event.table.version, "routes": len(event.table.routes)})
-    return [note, *_keep_connections(state, now)]
+    state.connections_changed = True
+    return [note]
 
 
 def _leaves_listed(state: EdgeState, event: ev.LeavesListed, now: float) -> list[Effect]:
     for leaf in state.fleet.listed(event.entries, now):
         state.plan_first_probe(leaf, now)
     state.fleet.sweep(now)
-    note = Note("leaves_listed", {"leaves": len(event.entries)})
-    return [note, *_keep_connections(state, now)]
+    state.connections_changed = True
+    return [Note("leaves_listed", {"leaves": len(event.entries)})]
 
 
 def _leaf_changed(state: EdgeState, event: ev.LeafChanged, now: float) -> list[Effect]:
@@ -111,7 +114,8 @@
         "draining": entry.draining,
         "cold_left_s": entry.cold_left_s,
     }
-    return [Note("leaf", fields), *_keep_connections(state, now)]
+    state.connections_changed = True
+    return [Note("leaf", fields)]
 
 
 def _leaf_removed(state: EdgeState, event: ev.LeafRemoved, now: float) -> list[Effect]:
@@ -160,7 +164,8 @@
     place = place_of(state.me.node, state.me.domain, members.values(), state.me.region_of)
     fields = {"nodes": len(members), "follows": [member.node for member in place.follow]}
     note = Note("members", {**fields, "store_at": place.store_at})
-    return [note, SetPlace(place), *_keep_connections(state, now)]
+    state.connections_changed = True
+    return [note, SetPlace(place)]
 
 
 def _record_rejected(state: EdgeState, event: ev.RecordRejected, now: float) -> list[Effect]:
@@ -196,16 +201,36 @@
     state.budget.nodes = state.member_count(now)
     effects += _sweep(state, now)
     effects += [ProbeLeaf(leaf) for leaf in due_probes(state.fleet, now)]
+    effects += _keep_connections(state, now)
+    effects += _tell_hints(state)
     return effects + _go_on_stopping(state, now)
 
 
+def _tell_hints(state: EdgeState) -> list[Effect]:
+    hints = state.fleet.hints.take()
+    if not hints:
+        return []
+    region_of = state.me.region_of
+    region = region_of.get(state.me.domain)
+    near = tuple(
+        member
+        for member in state.members.values()
+        if member.node != state.me.node and region_of.get(member.domain) == region
+    )
+    return [TellHints(near, hints)] if near else []
+
+
+def _hints_heard(state: EdgeState, event: ev.HintsHeard, now: float) -> list[Effect]:
+    take_hints(state.fleet, event.hints, state.fanout.rng, now)
+    return []
+
+
 def _sweep(state: EdgeState, now: float) -> list[Effect]:
     dropped = state.fleet.sweep(now)
     if not dropped:
         return []
-    return [Note("leaves_dropped", {"leaves": [leaf.name for leaf in dropped]})] + [
-        *_keep_connections(state, now)
-    ]
+    state.connections_changed = True
+    return [Note("leaves_dropped", {"leaves": [leaf.name for leaf in dropped]})]
 
 
 def _go_on_stopping(state: EdgeState, now: float) -> list[Effect]:
@@ -218,8 +243,9 @@
 
 def _keep_connections(state: EdgeState, now: float) -> list[Effect]:
     table = state.tables.table
-    if table is None:
+    if table is None or not state.connections_changed:
         return []
+    state.connections_changed = False
     used = table.services_in_use()
     kept = tuple(
         Connections(leaf, state.connections_to(leaf, now), state.warm_connections(leaf))
@@ -245,6 +271,7 @@
     ev.MemberSeen: _member_seen,
     ev.MemberGone: _member_gone,
     ev.MembersListed: _members_listed,
+    ev.HintsHeard: _hints_heard,
     ev.RecordRejected: _record_rejected,
     ev.StoreLost: _store_lost,
     ev.StoreBack: _store_back,
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/state.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/state.py
@@ -55,6 +55,7 @@
         self.member_counts = MemberCounts()
         self.store_up = False
         self.stopping = Stopping()
+        self.connections_changed = False
         self.housekeeping_at = 0.0
         self.budget = RetryBudget(rules=rules.budget, nodes=UNKNOWN_MEMBERS)
         self.fanout = FanoutBook(
--- a/packages/cactussaddle-core/src/cactussaddle_core/fanout/reduce.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/reduce.py
@@ -24,6 +24,7 @@
 from cactussaddle_core.fanout.sending import send_to
 from cactussaddle_core.fanout.state import Part
 from cactussaddle_core.fanout.state import Query
+from cactussaddle_core.fleet.hints import Trouble
 from cactussaddle_core.fleet.model import Standing
 
 if TYPE_CHECKING:
@@ -32,6 +33,7 @@
     from cactussaddle_core.fanout.model import FanoutEffect
     from cactussaddle_core.fanout.state import Call
     from cactussaddle_core.fanout.state import FanoutBook
+    from cactussaddle_core.fleet.leaf import Leaf
     from cactussaddle_core.routing.model import Route
 
 # What an answer takes from this node to the caller, and what the caller's clock may be off.
@@ -211,17 +213,22 @@
     if end.ending is CallEnding.ANSWERED:
         leaf.answered(now)
         leaf.saw_fault(False, now)
-        leaf.saw_slowness(book.timings.took(route, leaf, elapsed_s), now)
+        leaf.saw_slowness(book.timings.took(route, leaf, elapsed_s, now), now)
     elif end.ending in (CallEnding.REFUSED, CallEnding.FAILED):
         if end.wrong_leaf:
-            leaf.suspect(Standing.DOWN, now)
+            book.fleet.suspect(leaf, Standing.DOWN, now)
         else:
             leaf.answered(now)
-        leaf.saw_fault(True, now)
+        _saw_fault(book, leaf, now)
     elif end.ending is CallEnding.BROKEN:
-        leaf.saw_fault(True, now)
+        _saw_fault(book, leaf, now)
     elif end.ending is CallEnding.NOT_SENT:
-        leaf.suspect(Standing.DOWN, now)
+        book.fleet.suspect(leaf, Standing.DOWN, now)
     elif end.ending is CallEnding.CANCELLED and now >= overdue_at:
-        leaf.suspect(Standing.SUSPECT if call.left else Standing.DOWN, now)
+        book.fleet.suspect(leaf, Standing.SUSPECT if call.left else Standing.DOWN, now)
         leaf.saw_slowness(elapsed_s / book.timings.usual_s(route), now)
+
+
+def _saw_fault(book: FanoutBook, leaf: Leaf, now: float) -> None:
+    leaf.saw_fault(True, now)
+    book.fleet.hints.note(leaf, Trouble.FAULTS, 1.0)
--- a/packages/cactussaddle-core/src/cactussaddle_core/fanout/sending.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/sending.py
@@ -59,7 +59,7 @@
     part.calls.append(call)
     part.open_calls.append(call)
     book.calls[call.call_id] = call
-    overdue_at = now + book.timings.overdue_s(part.query.route, leaf)
+    overdue_at = now + book.timings.overdue_s(part.query.route, leaf, now)
     leaf.waiting[call.call_id] = overdue_at
     if leaf.is_cold(now):
         leaf.cold_meter.sent(now)
--- a/packages/cactussaddle-core/src/cactussaddle_core/fanout/timing.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/timing.py
@@ -13,46 +13,50 @@
 # Until a route has samples its usual time is taken to be this part of its objective.
 FIRST_USUAL_PART = 0.15
 FIRST_SAMPLES = 8
-OVERDUE_QUANTILE = 0.95
+OVERDUE_QUANTILE = 0.92
 # Few samples may all be slow or fast, so the usual time bounds the high quantile.
-OVERDUE_LEAST = 1.6
+OVERDUE_LEAST = 1.4
 OVERDUE_MOST = 3.0
+# A leaf is taken to be at most this much faster or slower than usual when its calls fall overdue.
+LEAST_SPEED_FACTOR = 0.7
+MOST_SPEED_FACTOR = 1.5
 SAME_DOMAIN_TRIP_S = 0.0005
 OTHER_DOMAIN_TRIP_S = 0.02
 
 
 class RouteTimings:
-    """Latency sketches by route, and the least round trip to each failure domain."""
+    """How long calls take by route, and the least round trip to each failure domain.
+
+    A call's work is its time beyond the round trip; its ratio is that against the usual time of
+    the route and of the leaf.
+    """
 
     def __init__(self, *, own_domain: str) -> None:
         self.own_domain = own_domain
-        self._sketches: dict[str, LatencySketch] = {}
+        self._works = _Sketches()
+        self._ratios = _Sketches()
         self._trips: dict[str, float] = {}
 
-    def took(self, route: Route, leaf: Leaf, latency_s: float) -> float:
+    def took(self, route: Route, leaf: Leaf, latency_s: float, now: float) -> float:
         """Take in a call's time; return how many times the usual time of the leaf's work it is."""
         work_s = max(0.0, latency_s - self.trip_s(leaf))
         ratio = work_s / self.usual_s(route)
-        self._sketch(route).add(work_s)
+        self._works.of(route).add(work_s)
+        self._ratios.of(route).add(ratio / _speed_factor(leaf, now))
         return ratio
 
     def usual_s(self, route: Route) -> float:
         """Return the median time of a call beyond the round trip."""
-        sketch = self._sketch(route)
+        sketch = self._works.of(route)
         if sketch.total < FIRST_SAMPLES:
             return FIRST_USUAL_PART * route.objective_s
         return sketch.quantile(0.5, FIRST_USUAL_PART * route.objective_s)
 
-    def overdue_s(self, route: Route, leaf: Leaf) -> float:
+    def overdue_s(self, route: Route, leaf: Leaf, now: float) -> float:
         """Return after how long a call at a leaf is overdue."""
-        usual_s = self.usual_s(route)
-        high_s = self._sketch(route).quantile(OVERDUE_QUANTILE, OVERDUE_MOST * usual_s)
-        work_s = min(max(high_s, OVERDUE_LEAST * usual_s), OVERDUE_MOST * usual_s)
-        return self.trip_s(leaf) + work_s
-
-    def expected_s(self, route: Route, leaf: Leaf, now: float) -> float:
-        """Return how long a call at a leaf is likely to take, its queue left aside."""
-        return self.trip_s(leaf) + self.usual_s(route) * leaf.slowness(now)
+        high = self._ratios.of(route).quantile(OVERDUE_QUANTILE, OVERDUE_MOST)
+        factor = min(max(high, OVERDUE_LEAST), OVERDUE_MOST) * _speed_factor(leaf, now)
+        return self.trip_s(leaf) + factor * self.usual_s(route)
 
     def connected(self, leaf: Leaf, took_s: float) -> None:
         """Take in how long a connection took to open."""
@@ -74,8 +78,20 @@
         """Return the longest of the round trips to the failure domains."""
         return max(self._trips.values(), default=OTHER_DOMAIN_TRIP_S)
 
-    def _sketch(self, route: Route) -> LatencySketch:
-        sketch = self._sketches.get(route.name)
+
+class _Sketches:
+    """A sketch for each route by name."""
+
+    def __init__(self) -> None:
+        self._by_route: dict[str, LatencySketch] = {}
+
+    def of(self, route: Route) -> LatencySketch:
+        """Return the sketch of a route, made on first use."""
+        sketch = self._by_route.get(route.name)
         if sketch is None:
-            sketch = self._sketches[route.name] = LatencySketch()
+            sketch = self._by_route[route.name] = LatencySketch()
         return sketch
+
+
+def _speed_factor(leaf: Leaf, now: float) -> float:
+    return min(max(leaf.slowness(now), LEAST_SPEED_FACTOR), MOST_SPEED_FACTOR)
--- a/packages/cactussaddle-core/src/cactussaddle_core/fleet/book.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fleet/book.py
@@ -10,7 +10,10 @@
 
 from typing import TYPE_CHECKING
 
+from cactussaddle_core.fleet.hints import HintBook
+from cactussaddle_core.fleet.hints import Trouble
 from cactussaddle_core.fleet.leaf import Leaf
+from cactussaddle_core.fleet.model import Standing
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -31,6 +34,7 @@
         self.by_service: dict[str, list[Leaf]] = {}
         self.domains_out: frozenset[str] = frozenset()
         self.loaded = False
+        self.hints = HintBook()
         self._store_back_at = -math.inf
         self._store_out = False
 
@@ -97,6 +101,12 @@
         """Return when the next leaf is to be dropped."""
         return min((leaf.unlisted_at for leaf in self.leaves.values()), default=math.inf)
 
+    def suspect(self, leaf: Leaf, standing: Standing, now: float) -> None:
+        """Avoid a leaf for a while; other nodes are told when it has just gone down."""
+        if standing is Standing.DOWN and leaf.standing is not Standing.DOWN:
+            self.hints.note(leaf, Trouble.DOWN)
+        leaf.suspect(standing, now)
+
     def may_get_calls(self, leaf: Leaf, now: float) -> bool:
         """Return whether the operators and the registry let new calls go to a leaf."""
         if leaf.entry.draining or now >= leaf.unlisted_at:
--- /dev/null
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fleet/hints.py
@@ -0,0 +1,102 @@
+"""What nodes of a region tell one another of leaves, so that each need not find out for itself.
+
+Hints are soft: they may be lost, come late or be wrong for the one who hears them (a leaf may be out
+of reach for one node only), so they make a node avoid or probe a leaf, and never rule it out.
+"""
+
+from __future__ import annotations
+
+import enum
+
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from cactussaddle_core.fleet.leaf import SLOW_PROBE_EVERY_S
+from cactussaddle_core.fleet.model import Standing
+
+if TYPE_CHECKING:
+    import random
+
+    from collections.abc import Iterable
+
+    from cactussaddle_core.fleet.book import Fleet
+    from cactussaddle_core.fleet.leaf import Leaf
+
+MAX_HINTS = 24
+# Of the nodes that know of a leaf in trouble one probes it next, by chance, and tells the others.
+NEXT_PROBE_FACTOR = (1.5, 4.0)
+# A hint of a fault counts less than a fault seen.
+FAULT_WEIGHT = 0.15
+
+
+class Trouble(enum.IntEnum):
+    """What a hint says of a leaf; SLOW comes with how many times slower, FAULTS with how many."""
+
+    NONE = 0
+    SLOW = 1
+    DOWN = 2
+    FAULTS = 3
+
+
+class Hint(NamedTuple):
+    """One node's news of a start of a leaf."""
+
+    leaf: str
+    born_ms: int
+    trouble: Trouble
+    amount: float
+
+
+class HintBook:
+    """Hints to be told with the next message, the newest for each leaf and kind."""
+
+    def __init__(self) -> None:
+        self._faults: dict[str, Hint] = {}
+        self._states: dict[str, Hint] = {}
+
+    def note(self, leaf: Leaf, trouble: Trouble, amount: float = 0.0) -> None:
+        """Keep a hint until it is told."""
+        hint = Hint(leaf.name, leaf.entry.born_ms, trouble, amount)
+        if trouble is Trouble.FAULTS:
+            known = self._faults.get(leaf.name)
+            more = known.amount if known is not None else 0.0
+            self._faults[leaf.name] = hint._replace(amount=amount + more)
+        else:
+            self._states[leaf.name] = hint
+
+    def take(self) -> tuple[Hint, ...]:
+        """Return what is to be told now."""
+        if not self._states and not self._faults:
+            return ()
+        hints = [*self._states.values(), *self._faults.values()][:MAX_HINTS]
+        self._states.clear()
+        self._faults.clear()
+        return tuple(hints)
+
+
+def take_hints(fleet: Fleet, hints: Iterable[Hint], rng: random.Random, now: float) -> None:
+    """Take in another node's hints; those of another start of a leaf are left aside."""
+    for hint in hints:
+        leaf = fleet.leaves.get(hint.leaf)
+        if leaf is not None and leaf.entry.born_ms == hint.born_ms:
+            _take(leaf, hint, rng, now)
+
+
+def _take(leaf: Leaf, hint: Hint, rng: random.Random, now: float) -> None:
+    later = now + SLOW_PROBE_EVERY_S * rng.uniform(*NEXT_PROBE_FACTOR)
+    if hint.trouble is Trouble.SLOW:
+        leaf.probed(hint.amount, now)
+        leaf.probe_at = later
+    elif hint.trouble is Trouble.DOWN:
+        if leaf.standing is Standing.READY:
+            leaf.standing = Standing.SUSPECT
+            leaf.probe_at = min(leaf.probe_at, now)
+        elif leaf.standing is Standing.DOWN:
+            leaf.probe_at = max(leaf.probe_at, later)
+    elif hint.trouble is Trouble.FAULTS:
+        for _ in range(min(10, int(hint.amount))):
+            leaf.saw_fault(True, now, weight=FAULT_WEIGHT)
+    else:
+        leaf.probed(1.0, now)
+        if leaf.standing is not Standing.READY:
+            leaf.probe_at = min(leaf.probe_at, now)
--- a/packages/cactussaddle-core/src/cactussaddle_core/fleet/leaf.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fleet/leaf.py
@@ -115,12 +115,16 @@
         aged = max(0.0, now - self._faults_at) / FAULT_HALF_LIFE_S
         return self._faults * math.pow(0.5, aged)
 
-    def saw_fault(self, fault: bool, now: float) -> None:
+    def saw_fault(self, fault: bool, now: float, weight: float = FAULT_WEIGHT) -> None:
         """Take in whether a call was refused or failed."""
         before = self.faults(now)
-        self._faults = before + FAULT_WEIGHT * (float(fault) - before)
+        self._faults = before + weight * (float(fault) - before)
         self._faults_at = now
 
+    def is_slow(self, now: float) -> bool:
+        """Return whether a probe has lately shown the leaf to be slow."""
+        return now - self._probed_at < PROBE_HOLDS_S and self._probed_slowness >= SLOW_RATIO
+
     def answered(self, now: float) -> None:
         """Take in any answer: the leaf is there."""
         self.heard_at = now
--- a/packages/cactussaddle-core/src/cactussaddle_core/fleet/probing.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fleet/probing.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from cactussaddle_core.fleet.hints import Trouble
 from cactussaddle_core.fleet.model import Standing
 
 if TYPE_CHECKING:
@@ -14,6 +15,10 @@
     from cactussaddle_core.fleet.leaf import Leaf
 
 
+# How late this node may have come to read an answer that lay ready.
+OWN_DELAY_S = 0.012
+
+
 class Health(NamedTuple):
     """A leaf's answer to a probe.
 
@@ -46,17 +51,28 @@
     if leaf is None:
         return
     if health.leaf != name or not health.healthy:
-        leaf.suspect(Standing.DOWN, now)
+        fleet.suspect(leaf, Standing.DOWN, now)
         return
     if health.cold_left_s is not None:
         leaf.grew_cold(health.cold_left_s, now)
+    was_down = leaf.standing is Standing.DOWN
+    was_slow = leaf.is_slow(now)
     leaf.answered(now)
     usual_s = _usual_probe_s(fleet, leaf)
     if usual_s is not None:
-        leaf.probed(health.work_s / usual_s, now)
+        leaf.probed(_ratio(health.work_s, usual_s), now)
+    if was_slow and leaf.is_slow(now):
+        fleet.hints.note(leaf, Trouble.SLOW, leaf.slowness(now))
+    elif was_slow or was_down:
+        fleet.hints.note(leaf, Trouble.NONE)
     leaf.least_probe_s = min(health.work_s, leaf.least_probe_s or health.work_s)
 
 
+def _ratio(work_s: float, usual_s: float) -> float:
+    """Return how many times the usual time a probe took, less what this node may have lost itself."""
+    return max(usual_s, work_s - OWN_DELAY_S) / usual_s
+
+
 def _usual_probe_s(fleet: Fleet, leaf: Leaf) -> float | None:
     """Return the usual time of a probe: the leaf's own least, or that of others of its size."""
     if leaf.least_probe_s is not None:
--- a/packages/cactussaddle-core/src/cactussaddle_core/limits/members.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/limits/members.py
@@ -22,4 +22,6 @@
 
     def most(self, now: float) -> int:
         """Return the number to divide by; 0 while none is known."""
-        return max([self._present, *(count for until, count in self._past if until > now)])
+        if self._past and self._past[0][0] <= now:
+            self._past = [entry for entry in self._past if entry[0] > now]
+        return max([self._present, *[count for _, count in self._past]])
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/daemon.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/daemon.py
@@ -27,6 +27,7 @@
 from cactussaddle_node.edge.caller import CallerHooks
 from cactussaddle_node.edge.eventlog import EventLog
 from cactussaddle_node.edge.follow import Follower
+from cactussaddle_node.edge.hintwire import HintSocket
 from cactussaddle_node.edge.leafcaller import LeafCaller
 from cactussaddle_node.edge.listener import Listener
 from cactussaddle_node.edge.pages import Pages
@@ -56,6 +57,7 @@
 
 # What is kept of the caller's time for the way back when a leaf is told its deadline.
 LEAF_DEADLINE_SPARE_S = 0.005
+SWEEP_EVERY_S = 0.1
 
 
 class EdgeDaemon:
@@ -73,6 +75,7 @@
             nursery=nursery, wire=leaves, local_host=cfg.ip, feed=self.feed
         )
         self.place_changed: Callable[[Place], None] | None = None
+        self.hint_socket = HintSocket(host=cfg.ip, peer_port=cfg.peer_port, feed=self.feed)
         self.stopped = trio.Event()
         self.breaches = 0
         self._events: deque[ev.Event] = deque()
@@ -101,6 +104,7 @@
 
     async def run_timers(self) -> None:
         """Feed a tick whenever one is due, and write the log."""
+        sweep_at = 0.0
         while True:
             self._sleeping_until = self.state.next_due()
             self._wake = trio.Event()
@@ -109,8 +113,10 @@
             self._sleeping_until = 0.0
             self.feed(ev.Tick())
             now = trio.current_time()
-            self.leaf_caller.sweep(now)
             self.log.flush(now)
+            if now >= sweep_at:
+                sweep_at = now + SWEEP_EVERY_S
+                self.leaf_caller.sweep(now)
 
     def hooks(self, listener: Listener) -> CallerHooks:
         """Return what callers' connections tell this node."""
@@ -209,6 +215,7 @@
     fx.Note: EdgeDaemon.note,
     fx.CloseIdle: EdgeDaemon._close_idle,
     fx.SetPlace: EdgeDaemon._set_place,
+    fx.TellHints: lambda daemon, effect: daemon.hint_socket.tell(effect),
     fx.EndProcess: EdgeDaemon._end_process,
 }
 
@@ -242,6 +249,7 @@
             listener = Listener(address=address, nursery=nursery, hooks=hooks)
             nursery.start_soon(listener.accept)
         nursery.start_soon(daemon.run_timers)
+        nursery.start_soon(daemon.hint_socket.listen)
         nursery.start_soon(follower.run)
         nursery.start_soon(
             register,
