Log events declared in one place, a line for each request with the calls that tell why; calmer probes

Log lines had free fields. Nodes far from a leaf kept idle connections for 8 s, so that leaves of 76 connections reset those of others (753 times), and a reset probe counted as a leaf that is down and was told on. Change: edge/logevents.py declares every event; what is routine leaves room for changes, those for failures. A request's line holds its slowest calls: why each was made, by what expected cost, how it ended. Far idle connections close after 1 s; a probe that is reset shows nothing; probes are planned in one place and run when due. The store is read at a pace that slows while changes run on; leases last 20 s.

--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/effects.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/effects.py
@@ -17,11 +17,15 @@
 
 
 class Connections(NamedTuple):
-    """How many connections to a leaf may be open, and how many to open before they are needed."""
+    """How many connections to a leaf may be open, and how many to open before they are needed.
+
+    One that has been idle for `idle_s` is closed.
+    """
 
     leaf: Leaf
     most: int
     warm: int
+    idle_s: float
 
 
 class KeepConnections(NamedTuple):
@@ -31,10 +35,9 @@
 
 
 class Note(NamedTuple):
-    """Write a log line."""
+    """Write a log line; `event` is one of `cactussaddle_core.edge.logevents`."""
 
-    event: str
-    fields: dict[str, Any]
+    event: Any
 
 
 class SetPlace(NamedTuple):
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/events.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/events.py
@@ -123,13 +123,19 @@
 
 
 class StoreLost(NamedTuple):
-    """The store can't be read."""
+    """`source` does not answer, or what it has is stale; fresh news came `age_s` ago."""
 
     reason: str
+    source: str
+    age_s: float
 
 
 class StoreBack(NamedTuple):
-    """The store can be read again."""
+    """`source` has told everything up to `revision`, which the store confirmed `age_s` ago."""
+
+    source: str
+    revision: int
+    age_s: float
 
 
 class StopAsked(NamedTuple):
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/reduce.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/reduce.py
@@ -7,8 +7,8 @@
 
 from cactussaddle_core.codes import ResultCode
 from cactussaddle_core.edge import events as ev
+from cactussaddle_core.edge import logevents as log
 from cactussaddle_core.edge.effects import CloseIdle
-from cactussaddle_core.edge.effects import Connections
 from cactussaddle_core.edge.effects import EndProcess
 from cactussaddle_core.edge.effects import KeepConnections
 from cactussaddle_core.edge.effects import Note
@@ -28,6 +28,7 @@
 
     from cactussaddle_core.edge.effects import Effect
     from cactussaddle_core.edge.state import EdgeState
+    from cactussaddle_core.fanout.model import CallerRequest
     from cactussaddle_core.spread.model import Member
 
 # When a caller of a node that is not ready may try again; it is likely to reach another node.
@@ -43,22 +44,28 @@
     request = event.request
     table = state.tables.table
     if table is None or not state.fleet.loaded:
-        return [_decline(request.req_id, ResultCode.NOT_CONFIGURED, "not loaded yet")]
+        return [_decline(request, ResultCode.NOT_CONFIGURED, "not loaded yet")]
     path = request.target.split(b"?", 1)[0].decode("latin-1")
     route = table.find(request.host, path)
     if route is None:
-        return [_decline(request.req_id, ResultCode.UNKNOWN_ROUTE, "no such route")]
+        return [_decline(request, ResultCode.UNKNOWN_ROUTE, "no such route")]
     services = route.shards or (state.splits.choose(route),)
     return [*fanout.begin(state.fanout, request, route, services, table.version, now)]
 
 
-def _decline(req_id: int, code: ResultCode, message: str) -> Declined:
+def _decline(request: CallerRequest, code: ResultCode, message: str) -> Declined:
     retry_after_s = 0.0 if code is ResultCode.UNKNOWN_ROUTE else NOT_READY_RETRY_S
-    return Declined(req_id, code, message, False, retry_after_s)
+    return Declined(request.req_id, request.request_id, code, message, False, retry_after_s)
 
 
 def _caller_gone(state: EdgeState, event: ev.CallerGone, now: float) -> list[Effect]:
-    return [*fanout.caller_gone(state.fanout, event.req_id)]
+    query = state.fanout.queries.get(event.req_id)
+    if query is None:
+        return []
+    calls = sum(len(part.open_calls) for part in query.parts)
+    after_ms = round((now - query.started_at) * 1000.0, 1)
+    left = log.CallerLeft(query.request.request_id, query.route.name, after_ms, calls)
+    return [Note(left), *fanout.caller_gone(state.fanout, event.req_id)]
 
 
 def _call_left(state: EdgeState, event: ev.CallLeft, now: float) -> list[Effect]:
@@ -78,20 +85,18 @@
 
 
 def _probe_ended(state: EdgeState, event: ev.ProbeEnded, now: float) -> list[Effect]:
-    leaf = state.fleet.leaves.get(event.leaf)
-    before = leaf.standing if leaf is not None else None
     probe_ended(state.fleet, event.leaf, event.health, now)
-    if leaf is None or leaf.standing is before:
-        return []
-    return [Note("leaf_standing", {"leaf": leaf.name, "standing": leaf.standing.value})]
+    return []
 
 
 def _table_seen(state: EdgeState, event: ev.TableSeen, now: float) -> list[Effect]:
+    before = state.tables.table
     if not state.tables.offer(event.table):
         return []
-    note = Note("table", {"version": event.table.version, "routes": len(event.table.routes)})
     state.connections_changed = True
-    return [note]
+    before_version = before.version if before is not None else 0
+    table = event.table
+    return [Note(log.TableInForce(table.version, before_version, len(table.routes)))]
 
 
 def _leaves_listed(state: EdgeState, event: ev.LeavesListed, now: float) -> list[Effect]:
@@ -99,29 +104,34 @@
         state.plan_first_probe(leaf, now)
     state.fleet.sweep(now)
     state.connections_changed = True
-    return [Note("leaves_listed", {"leaves": len(event.entries)})]
+    return [Note(log.LeavesListed(len(event.entries)))]
 
 
 def _leaf_changed(state: EdgeState, event: ev.LeafChanged, now: float) -> list[Effect]:
     entry = event.entry
+    known = state.fleet.leaves.get(entry.leaf)
+    was_draining = known is not None and known.entry.draining
     started = state.fleet.changed(entry, now)
+    state.connections_changed = True
     if started is not None:
         state.plan_first_probe(started, now)
-    fields = {
-        "leaf": entry.leaf,
-        "service": entry.service,
-        "domain": entry.domain,
-        "draining": entry.draining,
-        "cold_left_s": entry.cold_left_s,
-    }
-    state.connections_changed = True
-    return [Note("leaf", fields)]
+        cold_s = entry.cold_left_s
+        started_event = log.LeafStarted(
+            entry.leaf, entry.service, entry.domain, entry.version, cold_s
+        )
+        return [Note(started_event)]
+    if entry.draining and not was_draining:
+        return [Note(log.LeafDraining(entry.leaf))]
+    return []
 
 
 def _leaf_removed(state: EdgeState, event: ev.LeafRemoved, now: float) -> list[Effect]:
     state.fleet.removed(event.leaf, now)
-    note = Note("leaf_removed", {"leaf": event.leaf})
-    return [note, *_sweep(state, now)]
+    leaf = state.fleet.leaves.get(event.leaf)
+    if leaf is None:
+        return []
+    keeps_s = round(max(0.0, leaf.unlisted_at - now), 3)
+    return [Note(log.LeafUnlisted(event.leaf, keeps_s)), *_sweep(state, now)]
 
 
 def _domain_marked(state: EdgeState, event: ev.DomainMarked, now: float) -> list[Effect]:
@@ -141,7 +151,7 @@
     if domains == state.fleet.domains_out:
         return []
     state.fleet.domains_out = domains
-    return [Note("domains_out", {"domains": sorted(domains)})]
+    return [Note(log.DomainsOut(tuple(sorted(domains))))]
 
 
 def _member_seen(state: EdgeState, event: ev.MemberSeen, now: float) -> list[Effect]:
@@ -162,14 +172,13 @@
         return []
     state.set_members(members, now)
     place = place_of(state.me.node, state.me.domain, members.values(), state.me.region_of)
-    fields = {"nodes": len(members), "follows": [member.node for member in place.follow]}
-    note = Note("members", {**fields, "store_at": place.store_at})
     state.connections_changed = True
-    return [note, SetPlace(place)]
+    follows = tuple(member.node for member in place.follow)
+    return [Note(log.MembersChanged(len(members), follows, place.store_at)), SetPlace(place)]
 
 
 def _record_rejected(state: EdgeState, event: ev.RecordRejected, now: float) -> list[Effect]:
-    return [Note("record_rejected", {"key": event.key, "reason": event.reason})]
+    return [Note(log.RecordRejected(event.key, event.reason))]
 
 
 def _store_lost(state: EdgeState, event: ev.StoreLost, now: float) -> list[Effect]:
@@ -177,31 +186,35 @@
     if not state.store_up:
         return []
     state.store_up = False
-    return [Note("store_lost", {"reason": event.reason})]
+    state.store_changed_at = now
+    return [Note(log.StoreLost(event.reason, event.source, round(event.age_s, 2)))]
 
 
 def _store_back(state: EdgeState, event: ev.StoreBack, now: float) -> list[Effect]:
     state.fleet.store_back(now)
+    state.registry_seen_at = now - event.age_s
     if state.store_up:
         return []
     state.store_up = True
-    return [Note("store_back", {})]
+    away_s = round(now - state.store_changed_at, 2)
+    return [Note(log.StoreBack(event.source, away_s, event.revision))]
 
 
 def _stop_asked(state: EdgeState, event: ev.StopAsked, now: float) -> list[Effect]:
     state.stopping.ask(event.grace_s, now)
-    return [Note("stop_asked", {"requests": len(state.fanout.queries)})]
+    return [Note(log.StopAsked(event.grace_s, len(state.fanout.queries)))]
 
 
 def _tick(state: EdgeState, event: ev.Tick, now: float) -> list[Effect]:
     effects: list[Effect] = [*fanout.tick(state.fanout, now)]
+    effects += [ProbeLeaf(leaf) for leaf in due_probes(state.fleet, now)]
     if now < state.housekeeping_at:
         return effects
     state.housekeeping_at = now + HOUSEKEEPING_S
     state.budget.nodes = state.member_count(now)
     effects += _sweep(state, now)
-    effects += [ProbeLeaf(leaf) for leaf in due_probes(state.fleet, now)]
     effects += _keep_connections(state, now)
+    effects += [Note(change) for change in state.fleet.take_standings(now)]
     effects += _tell_hints(state)
     return effects + _go_on_stopping(state, now)
 
@@ -230,7 +243,7 @@
     if not dropped:
         return []
     state.connections_changed = True
-    return [Note("leaves_dropped", {"leaves": [leaf.name for leaf in dropped]})]
+    return [Note(log.LeavesDropped(tuple(leaf.name for leaf in dropped)))]
 
 
 def _go_on_stopping(state: EdgeState, now: float) -> list[Effect]:
@@ -248,7 +261,7 @@
     state.connections_changed = False
     used = table.services_in_use()
     kept = tuple(
-        Connections(leaf, state.connections_to(leaf, now), state.warm_connections(leaf))
+        state.connections(leaf, now)
         for leaf in state.fleet.leaves.values()
         if leaf.entry.service in used
     )
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/state.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/state.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from cactussaddle_core.edge.effects import Connections
 from cactussaddle_core.edge.stopping import Stopping
 from cactussaddle_core.fanout.state import FanoutBook
 from cactussaddle_core.fleet.book import Fleet
@@ -24,6 +25,8 @@
 UNKNOWN_MEMBERS = 16
 HOUSEKEEPING_S = 0.1
 WARM_CONNECTIONS = 1
+NEAR_IDLE_S = 8.0
+FAR_IDLE_S = 1.0
 FIRST_PROBE_SPREAD_S = 1.0
 
 
@@ -54,6 +57,8 @@
         self.members: dict[str, Member] = {}
         self.member_counts = MemberCounts()
         self.store_up = False
+        self.store_changed_at = 0.0
+        self.registry_seen_at = 0.0
         self.stopping = Stopping()
         self.connections_changed = False
         self.housekeeping_at = 0.0
@@ -80,28 +85,26 @@
 
     def next_due(self) -> float:
         """Return when the next tick is due."""
-        return min(self.housekeeping_at, self.fanout.next_due())
+        return min(self.housekeeping_at, self.fanout.next_due(), self.fleet.probes.next_at)
 
-    def connections_to(self, leaf: Leaf, now: float) -> int:
-        """Return how many connections this node may have to a leaf."""
-        table = self.tables.table
-        spec = table.services.get(leaf.entry.service) if table is not None else None
-        if spec is None:
-            return 1
-        return max(1, spec.max_connections // self.member_count(now))
-
-    def warm_connections(self, leaf: Leaf) -> int:
-        """Return how many connections to a leaf are opened before they are needed.
+    def connections(self, leaf: Leaf, now: float) -> Connections:
+        """Return how this node keeps connections to a leaf.
 
         Only leaves of the own region get most of the calls; elsewhere idle connections would take
         room under the leaf's limit from the nodes that need them.
         """
-        return WARM_CONNECTIONS if self._is_near(leaf) else 0
+        table = self.tables.table
+        spec = table.services.get(leaf.entry.service) if table is not None else None
+        share = spec.max_connections // self.member_count(now) if spec is not None else 1
+        if self._is_near(leaf):
+            return Connections(leaf, max(1, share), WARM_CONNECTIONS, NEAR_IDLE_S)
+        return Connections(leaf, max(1, share), 0, FAR_IDLE_S)
 
     def plan_first_probe(self, leaf: Leaf, now: float) -> None:
         """Have a leaf that this node will call often probed once, to learn its usual time."""
         if self._is_near(leaf):
-            leaf.probe_at = now + FIRST_PROBE_SPREAD_S * self.fanout.rng.random()
+            at = now + FIRST_PROBE_SPREAD_S * self.fanout.rng.random()
+            self.fleet.probes.ask(leaf.name, at)
 
     def set_members(self, members: dict[str, Member], now: float) -> None:
         """Take in which nodes are registered."""
--- a/packages/cactussaddle-core/src/cactussaddle_core/fanout/choose.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/choose.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from cactussaddle_core.fanout.state import Choice
 from cactussaddle_core.fleet.model import Standing
 
 if TYPE_CHECKING:
@@ -31,15 +32,19 @@
 SPREAD = 0.1
 
 
-def choose(book: FanoutBook, part: Part, now: float) -> Leaf | None:
+def choose(book: FanoutBook, part: Part, now: float) -> Choice | None:
     """Return the best leaf that the part has not tried yet; None when there is none."""
-    best: Leaf | None = None
-    best_cost = 0.0
-    for leaf in candidates(book, part, now):
-        cost = cost_s(book, part.query.route, leaf, now)
-        if best is None or cost < best_cost:
-            best, best_cost = leaf, cost
-    return best
+    costs = [
+        (cost_s(book, part.query.route, leaf, now), leaf) for leaf in candidates(book, part, now)
+    ]
+    if not costs:
+        return None
+    cost, leaf = min(costs, key=_first)
+    return Choice(leaf, cost, len(costs))
+
+
+def _first(pair: tuple[float, Leaf]) -> float:
+    return pair[0]
 
 
 def candidates(book: FanoutBook, part: Part, now: float) -> Iterator[Leaf]:
--- a/packages/cactussaddle-core/src/cactussaddle_core/fanout/finish.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/finish.py
@@ -72,10 +72,11 @@
     else:
         code = ResultCode.OUTCOME_UNKNOWN
     retry_after_s = 0.0 if ran else RETRY_AFTER_S
-    return [
-        Declined(query.request.req_id, code, message, ran, retry_after_s, query),
-        *effects,
-    ]
+    request = query.request
+    declined = Declined(
+        request.req_id, request.request_id, code, message, ran, retry_after_s, query
+    )
+    return [declined, *effects]
 
 
 def _forget(book: FanoutBook, query: Query) -> list[FanoutEffect]:
--- a/packages/cactussaddle-core/src/cactussaddle_core/fanout/model.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/model.py
@@ -14,7 +14,6 @@
     from cactussaddle_core.fanout.state import Query
     from cactussaddle_core.fleet.leaf import Leaf
     from cactussaddle_core.fleet.model import Load
-    from cactussaddle_core.routing.model import Route
 
 Headers: TypeAlias = tuple[tuple[bytes, bytes], ...]
 
@@ -112,12 +111,12 @@
     """Effect: answer without a result; `ran` says that some leaf may have run the request."""
 
     req_id: int
+    request_id: str
     code: ResultCode
     message: str
     ran: bool
     retry_after_s: float
     query: Query | None = None
-    route: Route | None = None
 
 
 class ProbeLeaf(NamedTuple):
--- a/packages/cactussaddle-core/src/cactussaddle_core/fanout/reduce.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/reduce.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from cactussaddle_core.codes import ResultCode
+from cactussaddle_core.fanout.choose import cost_s
 from cactussaddle_core.fanout.choose import is_servable
 from cactussaddle_core.fanout.finish import RETRY_AFTER_S
 from cactussaddle_core.fanout.finish import decline
@@ -15,6 +16,8 @@
 from cactussaddle_core.fanout.model import NOT_RUN
 from cactussaddle_core.fanout.model import CallEnding
 from cactussaddle_core.fanout.model import Declined
+from cactussaddle_core.fanout.sending import FIRST
+from cactussaddle_core.fanout.sending import HEDGE
 from cactussaddle_core.fanout.sending import can_hedge
 from cactussaddle_core.fanout.sending import count_back
 from cactussaddle_core.fanout.sending import end_all
@@ -22,6 +25,7 @@
 from cactussaddle_core.fanout.sending import end_unsent
 from cactussaddle_core.fanout.sending import send
 from cactussaddle_core.fanout.sending import send_to
+from cactussaddle_core.fanout.state import Choice
 from cactussaddle_core.fanout.state import Part
 from cactussaddle_core.fanout.state import Query
 from cactussaddle_core.fleet.hints import Trouble
@@ -70,22 +74,26 @@
     for service in services:
         book.budget.request(service, now)
     if deadline <= now:
-        message = "the caller's time is over"
-        return [Declined(request.req_id, ResultCode.NOT_RUN, message, False, 0.0, query)]
+        return [_refuse(query, "the caller's time is over", 0.0)]
     servable = sum(1 for part in query.parts if is_servable(book, part, now))
     if servable < query.needed():
         message = f"{servable} of {len(query.parts)} services can be asked"
-        code = ResultCode.NOT_RUN
-        return [Declined(request.req_id, code, message, False, RETRY_AFTER_S, query)]
+        return [_refuse(query, message, RETRY_AFTER_S)]
     book.queries[request.req_id] = query
     effects: list[FanoutEffect] = []
     for part in query.parts:
-        effects += send(book, part, "first", now)
+        effects += send(book, part, FIRST, now)
     book.review_at(query, answer_by)
     book.review_at(query, deadline)
     return effects + finish_if_settled(book, query, now)
 
 
+def _refuse(query: Query, message: str, retry_after_s: float) -> Declined:
+    request = query.request
+    code = ResultCode.NOT_RUN
+    return Declined(request.req_id, request.request_id, code, message, False, retry_after_s, query)
+
+
 def call_left(book: FanoutBook, call_id: int) -> None:
     """Take in that a call's request is on its way to the leaf."""
     call = book.calls.get(call_id)
@@ -100,6 +108,7 @@
         return []
     call.ended_at = now
     call.ending = end.ending
+    call.detail = end.detail
     _judge_leaf(book, call, end, now)
     if call.abandoned:
         return []
@@ -162,7 +171,7 @@
     effects = end_unsent(book, part, now)
     if part.open_calls and not can_hedge(part):
         return effects
-    return effects + send(book, part, "hedge", now, reserve=HEDGE_RESERVE)
+    return effects + send(book, part, HEDGE, now, reserve=HEDGE_RESERVE)
 
 
 def _retry(book: FanoutBook, part: Part, end: CallEnd, now: float) -> list[FanoutEffect]:
@@ -186,7 +195,8 @@
     refused = [call for call in part.calls if call.ending is CallEnding.REFUSED]
     for call in sorted(refused, key=lambda call: call.ended_at):
         if book.may_call(call.leaf, now):
-            return send_to(book, part, call.leaf, "retry: refused", now)
+            choice = Choice(call.leaf, cost_s(book, part.query.route, call.leaf, now), 1)
+            return send_to(book, part, choice, "retry: refused", now)
     return []
 
 
@@ -216,16 +226,17 @@
         leaf.saw_slowness(book.timings.took(route, leaf, elapsed_s, now), now)
     elif end.ending in (CallEnding.REFUSED, CallEnding.FAILED):
         if end.wrong_leaf:
-            book.fleet.suspect(leaf, Standing.DOWN, now)
+            book.fleet.suspect(leaf, Standing.DOWN, now, "another leaf has the address")
         else:
             leaf.answered(now)
         _saw_fault(book, leaf, now)
     elif end.ending is CallEnding.BROKEN:
         _saw_fault(book, leaf, now)
     elif end.ending is CallEnding.NOT_SENT:
-        book.fleet.suspect(leaf, Standing.DOWN, now)
+        book.fleet.suspect(leaf, Standing.DOWN, now, f"no connection: {end.detail}")
     elif end.ending is CallEnding.CANCELLED and now >= overdue_at:
-        book.fleet.suspect(leaf, Standing.SUSPECT if call.left else Standing.DOWN, now)
+        standing = Standing.SUSPECT if call.left else Standing.DOWN
+        book.fleet.suspect(leaf, standing, now, f"no answer in {1000.0 * elapsed_s:.0f} ms")
         leaf.saw_slowness(elapsed_s / book.timings.usual_s(route), now)
 
 
--- a/packages/cactussaddle-core/src/cactussaddle_core/fanout/sending.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/sending.py
@@ -15,11 +15,14 @@
 
 if TYPE_CHECKING:
     from cactussaddle_core.fanout.model import FanoutEffect
+    from cactussaddle_core.fanout.state import Choice
     from cactussaddle_core.fanout.state import FanoutBook
     from cactussaddle_core.fanout.state import Part
     from cactussaddle_core.fanout.state import Query
-    from cactussaddle_core.fleet.leaf import Leaf
 
+# Why a call is made.
+FIRST = "first"
+HEDGE = "hedge"
 # How long a call that lost is awaited: its answer tells that the leaf is well again and keeps the
 # connection.
 LINGER_S = 0.45
@@ -33,21 +36,27 @@
     """Send the part to the best leaf left; nothing when the limits or the leaves forbid it."""
     if part.runs >= _most_runs(part):
         return []
-    leaf = choose(book, part, now)
-    if leaf is None:
+    choice = choose(book, part, now)
+    if choice is None:
         return []
-    return send_to(book, part, leaf, reason, now, reserve=reserve)
+    return send_to(book, part, choice, reason, now, reserve=reserve)
 
 
 def send_to(
-    book: FanoutBook, part: Part, leaf: Leaf, reason: str, now: float, *, reserve: float = 0.0
+    book: FanoutBook, part: Part, choice: Choice, reason: str, now: float, *, reserve: float = 0.0
 ) -> list[FanoutEffect]:
-    """Send the part to `leaf` unless the retry budget forbids it."""
+    """Send the part to the leaf chosen unless the retry budget forbids it."""
+    leaf = choice.leaf
     extra = part.arrivals > 0
     if extra and not book.budget.take(part.service, now, reserve=reserve):
         return []
     call = Call(
-        call_id=book.next_call_id(), part=part, leaf=leaf, reason=reason, extra=extra, now=now
+        call_id=book.next_call_id(),
+        part=part,
+        choice=choice,
+        reason=reason,
+        extra=extra,
+        now=now,
     )
     part.runs += 1
     part.arrivals += 1
--- a/packages/cactussaddle-core/src/cactussaddle_core/fanout/state.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/state.py
@@ -7,6 +7,7 @@
 import random
 
 from typing import TYPE_CHECKING
+from typing import NamedTuple
 
 from cactussaddle_core.fanout.timing import RouteTimings
 
@@ -23,16 +24,28 @@
     from cactussaddle_core.routing.model import Route
 
 
+class Choice(NamedTuple):
+    """A leaf chosen, its expected cost in seconds, and among how many it was chosen."""
+
+    leaf: Leaf
+    cost_s: float
+    choices: int
+
+
 class Call:
     """One call of a part at one leaf.
 
     `extra` says that the retry budget paid for it, `left` that its request is on its way, and
-    `reason` why it was made.
+    `reason` why it was made. `cost_s` is the expected cost by which the leaf was chosen among
+    `choices`; `detail` says in a few words how the call ended.
     """
 
     __slots__ = (
         "abandoned",
         "call_id",
+        "choices",
+        "cost_s",
+        "detail",
         "ended_at",
         "ending",
         "extra",
@@ -44,11 +57,21 @@
     )
 
     def __init__(
-        self, *, call_id: int, part: Part, leaf: Leaf, reason: str, extra: bool, now: float
+        self,
+        *,
+        call_id: int,
+        part: Part,
+        choice: Choice,
+        reason: str,
+        extra: bool,
+        now: float,
     ) -> None:
         self.call_id = call_id
         self.part = part
-        self.leaf = leaf
+        self.leaf = choice.leaf
+        self.cost_s = choice.cost_s
+        self.choices = choice.choices
+        self.detail = ""
         self.reason = reason
         self.extra = extra
         self.left = False
--- a/packages/cactussaddle-core/src/cactussaddle_core/fleet/book.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fleet/book.py
@@ -10,10 +10,12 @@
 
 from typing import TYPE_CHECKING
 
+from cactussaddle_core.edge.logevents import LeafStanding
 from cactussaddle_core.fleet.hints import HintBook
 from cactussaddle_core.fleet.hints import Trouble
 from cactussaddle_core.fleet.leaf import Leaf
 from cactussaddle_core.fleet.model import Standing
+from cactussaddle_core.fleet.probeplan import ProbePlan
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -24,6 +26,7 @@
 REJOIN_S = 2.3
 # An entry removed this soon after an outage may have lapsed in it.
 OUTAGE_ECHO_S = 3.0
+MAX_NOTED = 200
 
 
 class Fleet:
@@ -35,6 +38,8 @@
         self.domains_out: frozenset[str] = frozenset()
         self.loaded = False
         self.hints = HintBook()
+        self.probes = ProbePlan()
+        self._noted: dict[str, tuple[Standing, bool, str]] = {}
         self._store_back_at = -math.inf
         self._store_out = False
 
@@ -67,7 +72,7 @@
         if leaf is not None and _is_older(entry, leaf.entry):
             return None
         if leaf is None or _restarted(leaf.entry, entry):
-            started = Leaf(entry=entry, now=now)
+            started = Leaf(entry=entry, probes=self.probes, now=now)
             self._put(started)
             return started
         if entry.cold_left_s != leaf.entry.cold_left_s:
@@ -101,12 +106,32 @@
         """Return when the next leaf is to be dropped."""
         return min((leaf.unlisted_at for leaf in self.leaves.values()), default=math.inf)
 
-    def suspect(self, leaf: Leaf, standing: Standing, now: float) -> None:
+    def suspect(self, leaf: Leaf, standing: Standing, now: float, cause: str) -> None:
         """Avoid a leaf for a while; other nodes are told when it has just gone down."""
         if standing is Standing.DOWN and leaf.standing is not Standing.DOWN:
             self.hints.note(leaf, Trouble.DOWN)
+        self.note_standing(leaf, cause, now)
         leaf.suspect(standing, now)
 
+    def note_standing(self, leaf: Leaf, cause: str, now: float) -> None:
+        """Remember that what is believed of a leaf may change now, and what shows it."""
+        if len(self._noted) < MAX_NOTED and leaf.name not in self._noted:
+            self._noted[leaf.name] = (leaf.standing, leaf.is_slow(now), cause)
+
+    def take_standings(self, now: float) -> list[LeafStanding]:
+        """Return what is believed of leaves that has changed since asked last."""
+        if not self._noted:
+            return []
+        noted, self._noted = self._noted, {}
+        changes: list[LeafStanding] = []
+        for name, (standing, was_slow, cause) in noted.items():
+            leaf = self.leaves.get(name)
+            if leaf is None:
+                continue
+            if leaf.standing is not standing or leaf.is_slow(now) is not was_slow:
+                changes.append(_standing(leaf, cause, now))
+        return changes
+
     def may_get_calls(self, leaf: Leaf, now: float) -> bool:
         """Return whether the operators and the registry let new calls go to a leaf."""
         if leaf.entry.draining or now >= leaf.unlisted_at:
@@ -121,6 +146,17 @@
         self.by_service.setdefault(leaf.entry.service, []).append(leaf)
 
 
+def _standing(leaf: Leaf, cause: str, now: float) -> LeafStanding:
+    slow = " and slow" if leaf.is_slow(now) else ""
+    return LeafStanding(
+        leaf=leaf.name,
+        standing=leaf.standing.value + slow,
+        cause=cause,
+        slowness=round(leaf.slowness(now), 1),
+        faults=round(leaf.faults(now), 2),
+    )
+
+
 def _is_older(entry: LeafEntry, known: LeafEntry) -> bool:
     if entry.born_ms != known.born_ms:
         return entry.born_ms < known.born_ms
--- a/packages/cactussaddle-core/src/cactussaddle_core/fleet/hints.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fleet/hints.py
@@ -25,6 +25,8 @@
 MAX_HINTS = 24
 # Of the nodes that know of a leaf in trouble one probes it next, by chance, and tells the others.
 NEXT_PROBE_FACTOR = (1.5, 4.0)
+# Within this time a node sees for itself whether a leaf is down, or up again.
+DOWN_CHECK_S = 0.4
 # A hint of a fault counts less than a fault seen.
 FAULT_WEIGHT = 0.15
 
@@ -79,6 +81,7 @@
     for hint in hints:
         leaf = fleet.leaves.get(hint.leaf)
         if leaf is not None and leaf.entry.born_ms == hint.born_ms:
+            fleet.note_standing(leaf, "told by another node", now)
             _take(leaf, hint, rng, now)
 
 
@@ -86,17 +89,17 @@
     later = now + SLOW_PROBE_EVERY_S * rng.uniform(*NEXT_PROBE_FACTOR)
     if hint.trouble is Trouble.SLOW:
         leaf.probed(hint.amount, now)
-        leaf.probe_at = later
+        leaf.probes.put_off(leaf.name, later)
     elif hint.trouble is Trouble.DOWN:
         if leaf.standing is Standing.READY:
             leaf.standing = Standing.SUSPECT
-            leaf.probe_at = min(leaf.probe_at, now)
+            leaf.probes.ask(leaf.name, now + DOWN_CHECK_S * rng.random())
         elif leaf.standing is Standing.DOWN:
-            leaf.probe_at = max(leaf.probe_at, later)
+            leaf.probes.put_off(leaf.name, later)
     elif hint.trouble is Trouble.FAULTS:
         for _ in range(min(10, int(hint.amount))):
             leaf.saw_fault(True, now, weight=FAULT_WEIGHT)
     else:
         leaf.probed(1.0, now)
         if leaf.standing is not Standing.READY:
-            leaf.probe_at = min(leaf.probe_at, now)
+            leaf.probes.ask(leaf.name, now + DOWN_CHECK_S * rng.random())
--- a/packages/cactussaddle-core/src/cactussaddle_core/fleet/leaf.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fleet/leaf.py
@@ -12,6 +12,7 @@
 if TYPE_CHECKING:
     from cactussaddle_core.fleet.model import LeafEntry
     from cactussaddle_core.fleet.model import Load
+    from cactussaddle_core.fleet.probeplan import ProbePlan
 
 # Weight of the newest call in a leaf's slowness.
 SLOWNESS_WEIGHT = 0.25
@@ -39,8 +40,9 @@
     time that a connection took, about one round trip.
     """
 
-    def __init__(self, *, entry: LeafEntry, now: float) -> None:
+    def __init__(self, *, entry: LeafEntry, probes: ProbePlan, now: float) -> None:
         self.entry = entry
+        self.probes = probes
         self.listed = True
         self.unlisted_at = math.inf
         self.cold_until = now + entry.cold_left_s if entry.cold_left_s > 0.0 else 0.0
@@ -52,7 +54,6 @@
         self.standing = Standing.READY
         self.suspect_until = 0.0
         self.suspicion_s = FIRST_SUSPICION_S
-        self.probe_at = math.inf
         self.heard_at = -math.inf
         self.least_probe_s: float | None = None
         self._probed_slowness = 1.0
@@ -93,22 +94,32 @@
         before = self.slowness(now)
         self._slowness = before + weight * (min(ratio, MAX_SLOWNESS) - before)
         self._slowness_at = now
-        if ratio >= SLOW_RATIO and not self.probed_lately(now):
-            self.probe_at = min(self.probe_at, now)
+        if ratio >= SLOW_RATIO:
+            self.doubt(now)
+
+    def doubt(self, now: float) -> None:
+        """Have the leaf probed at once, unless a probe has just told."""
+        if not self.probed_lately(now):
+            self.probes.ask(self.name, now)
 
     def probed_lately(self, now: float) -> bool:
         """Return whether a probe has just told how slow the leaf is."""
         return now - self._probed_at < SLOW_PROBE_EVERY_S
 
-    def probed(self, ratio: float, now: float) -> None:
-        """Take in a probe that took `ratio` times the usual time: it tells the speed by itself."""
+    def probed(self, ratio: float, now: float) -> bool:
+        """Take in a probe that took `ratio` times the usual time; return whether to tell of it.
+
+        One slow probe may have met a pause, so the next one follows at once; two show a slow leaf.
+        """
+        was_slow = self.is_slow(now)
         self._probed_at = now
         self._probed_slowness = min(ratio, MAX_SLOWNESS)
-        if ratio >= SLOW_RATIO:
-            self.probe_at = now + SLOW_PROBE_EVERY_S
-        else:
+        if ratio < SLOW_RATIO:
             self._slowness = min(self.slowness(now), SLOW_RATIO)
             self._slowness_at = now
+            return was_slow
+        self.probes.ask(self.name, now + SLOW_PROBE_EVERY_S if was_slow else now)
+        return was_slow
 
     def faults(self, now: float) -> float:
         """Return the share of calls that were refused or failed, fading while nothing is heard."""
@@ -136,7 +147,7 @@
         """Avoid the leaf for a while, longer each time in a row, and ask for its health then."""
         self.standing = standing
         self.suspect_until = now + self.suspicion_s
-        self.probe_at = self.suspect_until
+        self.probes.ask(self.name, self.suspect_until)
         self.suspicion_s = min(MAX_SUSPICION_S, 2.0 * self.suspicion_s)
 
     def grew_cold(self, left_s: float, now: float) -> None:
--- a/packages/cactussaddle-core/src/cactussaddle_core/fleet/probing.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fleet/probing.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import math
+import enum
 
 from typing import TYPE_CHECKING
 from typing import NamedTuple
@@ -17,15 +17,29 @@
 
 # How late this node may have come to read an answer that lay ready.
 OWN_DELAY_S = 0.012
+RESET_WAIT_S = 0.7
+
+
+class ProbeEnd(enum.StrEnum):
+    """How a probe ended.
+
+    After RESET the leaf is there, but may have had no room for one more connection.
+    """
+
+    ANSWERED = "answered"
+    NOT_CONNECTED = "no connection"
+    RESET = "connection reset"
+    SILENT = "no answer"
 
 
 class Health(NamedTuple):
-    """A leaf's answer to a probe.
+    """What came of a probe.
 
-    `leaf` is the id of whoever answered, empty when nobody did; `cold_left_s` is None where the
-    answer doesn't tell. `work_s` is the time that the answer took beyond the round trips.
+    `leaf` is the id of whoever answered; `cold_left_s` is None where the answer doesn't tell.
+    `work_s` is the time that the answer took beyond the round trips.
     """
 
+    end: ProbeEnd
     leaf: str
     healthy: bool
     cold_left_s: float | None
@@ -34,15 +48,7 @@
 
 def due_probes(fleet: Fleet, now: float) -> list[Leaf]:
     """Return the leaves to probe now; each is asked once until it has answered or failed."""
-    due = [leaf for leaf in fleet.leaves.values() if leaf.probe_at <= now]
-    for leaf in due:
-        leaf.probe_at = math.inf
-    return due
-
-
-def next_probe(fleet: Fleet) -> float:
-    """Return when the next probe is due."""
-    return min((leaf.probe_at for leaf in fleet.leaves.values()), default=math.inf)
+    return [fleet.leaves[name] for name in fleet.probes.take_due(now) if name in fleet.leaves]
 
 
 def probe_ended(fleet: Fleet, name: str, health: Health, now: float) -> None:
@@ -50,24 +56,37 @@
     leaf = fleet.leaves.get(name)
     if leaf is None:
         return
-    if health.leaf != name or not health.healthy:
-        fleet.suspect(leaf, Standing.DOWN, now)
+    if health.end is ProbeEnd.RESET:
+        fleet.probes.ask(name, now + RESET_WAIT_S)
+        return
+    if health.end is ProbeEnd.SILENT:
+        fleet.suspect(leaf, Standing.SUSPECT, now, health.end.value)
+        return
+    if health.end is ProbeEnd.NOT_CONNECTED or health.leaf != name or not health.healthy:
+        fleet.suspect(leaf, Standing.DOWN, now, _cause(leaf, health))
         return
     if health.cold_left_s is not None:
         leaf.grew_cold(health.cold_left_s, now)
+    fleet.note_standing(leaf, f"probe took {1000.0 * health.work_s:.0f} ms", now)
     was_down = leaf.standing is Standing.DOWN
-    was_slow = leaf.is_slow(now)
     leaf.answered(now)
     usual_s = _usual_probe_s(fleet, leaf)
-    if usual_s is not None:
-        leaf.probed(_ratio(health.work_s, usual_s), now)
-    if was_slow and leaf.is_slow(now):
+    is_news = usual_s is not None and leaf.probed(_ratio(health.work_s, usual_s), now)
+    if is_news and leaf.is_slow(now):
         fleet.hints.note(leaf, Trouble.SLOW, leaf.slowness(now))
-    elif was_slow or was_down:
+    elif is_news or was_down:
         fleet.hints.note(leaf, Trouble.NONE)
     leaf.least_probe_s = min(health.work_s, leaf.least_probe_s or health.work_s)
 
 
+def _cause(leaf: Leaf, health: Health) -> str:
+    if health.end is not ProbeEnd.ANSWERED:
+        return health.end.value
+    if health.leaf != leaf.name:
+        return f"leaf {health.leaf} has the address"
+    return "says it is not healthy"
+
+
 def _ratio(work_s: float, usual_s: float) -> float:
     """Return how many times the usual time a probe took, less what this node may have lost itself."""
     return max(usual_s, work_s - OWN_DELAY_S) / usual_s
--- a/packages/cactussaddle-core/src/cactussaddle_core/spread/choice.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/spread/choice.py
@@ -16,6 +16,11 @@
 STALE_S = 2.5
 
 
+def source_name(member: Member | None) -> str:
+    """Return the name of a source; None is the store."""
+    return STORE if member is None else member.node
+
+
 class SourceChoice:
     """The sources of one node and which of them failed; times are of the steady clock."""
 
@@ -43,14 +48,14 @@
 
     def failed(self, member: Member | None, now: float) -> None:
         """Take in that a source did not answer, or with what is stale."""
-        name = STORE if member is None else member.node
+        name = source_name(member)
         bar_s = self._bars.get(name, FIRST_BAR_S)
         self._barred_until[name] = now + bar_s
         self._bars[name] = min(MAX_BAR_S, 2.0 * bar_s)
 
     def answered(self, member: Member | None) -> None:
         """Take in a fresh answer of a source."""
-        name = STORE if member is None else member.node
+        name = source_name(member)
         self._bars.pop(name, None)
         self._barred_until.pop(name, None)
 
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/daemon.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/daemon.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import random
 import signal
 
@@ -15,11 +16,13 @@
 from cactussaddle_core.codes import ResultCode
 from cactussaddle_core.edge import effects as fx
 from cactussaddle_core.edge import events as ev
+from cactussaddle_core.edge import logevents as log
 from cactussaddle_core.edge.reduce import reduce
 from cactussaddle_core.edge.state import EdgeIdentity
 from cactussaddle_core.edge.state import EdgeRules
 from cactussaddle_core.edge.state import EdgeState
 from cactussaddle_core.fanout import model as fan
+from cactussaddle_core.fanout.trace import request_ended
 from cactussaddle_core.invariants import set_handler
 from cactussaddle_core.limits.budget import BudgetRules
 from cactussaddle_core.limits.cold import ColdRules
@@ -49,6 +52,7 @@
 
     from cactussaddle_common.http.message import Answer
     from cactussaddle_common.http.requestreader import IncomingRequest
+    from cactussaddle_core.fanout.state import Query
     from cactussaddle_core.invariants import Breach
     from cactussaddle_core.routing.model import CallerLimits
     from cactussaddle_core.spread.tree import Place
@@ -133,11 +137,11 @@
     def breach(self, breach: Breach) -> None:
         """Log and count a broken promise."""
         self.breaches += 1
-        self.note(fx.Note("breach", {"promise": breach.promise.value, "detail": breach.detail}))
+        self.log.write(log.Breach(breach.promise.value, breach.detail), trio.current_time())
 
     def note(self, effect: fx.Note) -> None:
         """Write a log line."""
-        self.log.write(effect.event, effect.fields, trio.current_time())
+        self.log.write(effect.event, trio.current_time())
 
     def dump(self) -> dict[str, Any]:
         """Return the state dump."""
@@ -158,8 +162,11 @@
     def _arrived(self, number: int, connection: CallerConnection, request: IncomingRequest) -> None:
         decoded = callers.decode_request(number, request.head, request.body)
         if isinstance(decoded, str):
-            declined = fan.Declined(number, ResultCode.BAD_REQUEST, decoded, False, 0.0)
+            declined = fan.Declined(number, "", ResultCode.BAD_REQUEST, decoded, False, 0.0)
             connection.answer(callers.encode_declined(declined))
+            self.log.write(
+                log.RequestRefused("", declined.code.name, decoded, 0.0), trio.current_time()
+            )
             return
         self._connections[number] = connection
         self.feed(ev.RequestArrived(decoded))
@@ -180,12 +187,25 @@
 
     def _merged(self, effect: fan.Merged) -> None:
         self._answer(effect.query.request.req_id, callers.encode_merged(effect))
+        self._note_end(effect, effect.query)
 
     def _relayed(self, effect: fan.Relayed) -> None:
         self._answer(effect.query.request.req_id, callers.encode_relayed(effect))
+        self._note_end(effect, effect.query)
 
     def _declined(self, effect: fan.Declined) -> None:
         self._answer(effect.req_id, callers.encode_declined(effect))
+        if effect.query is not None:
+            self._note_end(effect, effect.query)
+            return
+        retry_ms = round(effect.retry_after_s * 1000.0, 1)
+        event = log.RequestRefused(effect.request_id, effect.code.name, effect.message, retry_ms)
+        self.log.write(event, trio.current_time())
+
+    def _note_end(self, answer: fan.Merged | fan.Relayed | fan.Declined, query: Query) -> None:
+        now = trio.current_time()
+        age_s = now - self.state.registry_seen_at
+        self.log.write(request_ended(answer, query, age_s, now), now)
 
     def _probe(self, effect: fan.ProbeLeaf) -> None:
         table = self.state.tables.table
@@ -233,7 +253,10 @@
     async with trio.open_nursery() as nursery:
         daemon = EdgeDaemon(cfg=cfg, nursery=nursery)
         set_handler(daemon.breach)
-        daemon.note(fx.Note("started", {"domain": cfg.domain, "ip": cfg.ip}))
+        limits = cfg.limits
+        daemon.note(
+            fx.Note(log.Started(cfg.domain, cfg.ip, os.getpid(), limits.cores, limits.memory_mb))
+        )
         sources = PageSources(daemon.state.is_ready, daemon.dump, daemon.metrics)
         pages = Pages(ready_path=READY_PATH, sources=sources)
         store = KvStore(address=cfg.store.address._replace(local_host=cfg.ip), nursery=nursery)
@@ -263,7 +286,7 @@
         )
         nursery.start_soon(_watch_signals, daemon)
         await daemon.stopped.wait()
-        daemon.note(fx.Note("stopped", {}))
+        daemon.note(fx.Note(log.Stopped(len(daemon.state.fanout.queries))))
         daemon.log.flush(trio.current_time())
         nursery.cancel_scope.cancel()
 
@@ -285,6 +308,6 @@
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
         async for number in signals:
             if number == signal.SIGHUP:
-                daemon.note(fx.Note("reload", {}))
+                daemon.note(fx.Note(log.Reloaded(())))
             else:
                 daemon.feed(ev.StopAsked(daemon.cfg.bounds.shutdown_grace_s))
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/eventlog.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/eventlog.py
@@ -9,10 +9,16 @@
 
 import msgspec
 
+from cactussaddle_core.edge.logevents import LinesDropped
+from cactussaddle_core.edge.logevents import Weight
+from cactussaddle_core.edge.logevents import event_name
+from cactussaddle_core.edge.logevents import weight_of
+
 STDOUT = 1
-# Lines and bytes a second that are written at most; what is left out is counted.
-LINES_PER_S = 200.0
-BURST_LINES = 400.0
+# Lines a second and at once: what is routine leaves room for changes, and those for failures.
+LINES_PER_S = 40.0
+BURST_LINES = 160.0
+ROOM_FOR_HEAVIER = {Weight.ROUTINE: 120.0, Weight.CHANGE: 40.0, Weight.FAILURE: 0.0}
 MAX_WAITING_BYTES = 262_144
 # A pipe takes writes of this size as a whole or not at all, so lines are not torn.
 WRITE_BYTES = 4096
@@ -25,27 +31,27 @@
         self._node = node
         self._descriptor = descriptor
         self._encoder = msgspec.json.Encoder(enc_hook=str)
+        self._names: dict[type[Any], str] = {}
         self._waiting = bytearray()
         self._tokens = BURST_LINES
         self._filled_at = 0.0
-        self.dropped: dict[str, int] = {}
+        self._dropped: dict[str, int] = {}
         os.set_blocking(descriptor, False)
 
-    def write(self, event: str, fields: dict[str, Any], now: float) -> None:
-        """Queue one line; `now` is of the steady clock."""
-        if not self._admit(now):
-            self.dropped[event] = self.dropped.get(event, 0) + 1
-            return
-        line = {"time": round(time.time(), 3), "node": self._node, "event": event, **fields}
-        self._waiting += self._encoder.encode(line)
-        self._waiting += b"\n"
+    def write(self, event: Any, now: float) -> None:
+        """Queue the line of a log event; `now` is of the steady clock."""
+        name = self._name(event)
+        if self._admit(weight_of(event), now):
+            self._queue(name, event)
+        else:
+            self._dropped[name] = self._dropped.get(name, 0) + 1
 
     def flush(self, now: float) -> None:
         """Write what the reader takes without waiting."""
-        if self.dropped and self._admit(now):
-            dropped, self.dropped = self.dropped, {}
-            line = {"time": round(time.time(), 3), "node": self._node, "event": "lines_dropped"}
-            self._waiting += self._encoder.encode({**line, "by_event": dropped}) + b"\n"
+        if self._dropped and self._admit(Weight.CHANGE, now):
+            dropped, self._dropped = self._dropped, {}
+            event = LinesDropped(dropped)
+            self._queue(self._name(event), event)
         while self._waiting:
             end = self._waiting.rfind(b"\n", 0, WRITE_BYTES) + 1 or len(self._waiting)
             try:
@@ -57,10 +63,25 @@
                 return
             del self._waiting[:written]
 
-    def _admit(self, now: float) -> bool:
+    def _queue(self, name: str, event: Any) -> None:
+        fields = event._asdict()
+        line = {"time": round(time.time(), 3), "node": self._node, "event": name, **fields}
+        self._waiting += self._encoder.encode(line)
+        self._waiting += b"\n"
+
+    def _name(self, event: Any) -> str:
+        kind = type(event)
+        name = self._names.get(kind)
+        if name is None:
+            name = self._names[kind] = event_name(kind)
+        return name
+
+    def _admit(self, weight: Weight, now: float) -> bool:
         self._tokens = min(BURST_LINES, self._tokens + (now - self._filled_at) * LINES_PER_S)
         self._filled_at = now
-        if self._tokens < 1.0 or len(self._waiting) > MAX_WAITING_BYTES:
+        if self._tokens < 1.0 + ROOM_FOR_HEAVIER[weight]:
+            return False
+        if len(self._waiting) > MAX_WAITING_BYTES:
             return False
         self._tokens -= 1.0
         return True
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/follow.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/follow.py
@@ -20,6 +20,7 @@
 from cactussaddle_core.edge import events as ev
 from cactussaddle_core.spread.choice import STALE_S
 from cactussaddle_core.spread.choice import SourceChoice
+from cactussaddle_core.spread.choice import source_name
 from cactussaddle_core.spread.log import RecordLog
 
 if TYPE_CHECKING:
@@ -34,10 +35,16 @@
 
 # A change at the store is waited for this long before it is asked again.
 WAIT_S = 20.0
-# Changes that come together are read together.
-PACE_S = 0.15
+# Changes that come together are read together: the pause between two readings doubles while each
+# finds news at once, up to a part of the time in which changes have to be in force.
+FIRST_PACE_S = 0.1
+MAX_PACE_S = 0.6
+# A reading that waited for longer than this ends a run of changes.
+CALM_S = 1.5
 FIRST_RETRY_S = 0.1
 MAX_RETRY_S = 0.8
+# Stands for "never" in the log.
+MAX_AGE_S = 1e6
 
 
 class StoreSource(Protocol):
@@ -110,17 +117,21 @@
     def interrupt(self, reason: str) -> None:
         """Give up a watch at the store that may be lost."""
         if self._waiting is not None:
-            self._feed(ev.StoreLost(reason))
+            self._lost(reason, None)
             self._sure = False
             self._waiting.cancel()
 
     async def run(self) -> None:
         """Follow until cancelled."""
         retry_s = FIRST_RETRY_S
+        pace_s = FIRST_PACE_S
         while True:
+            began = trio.current_time()
             if await self._step():
                 retry_s = FIRST_RETRY_S
-                await trio.sleep(PACE_S)
+                calm = trio.current_time() - began > CALM_S
+                pace_s = FIRST_PACE_S if calm else min(MAX_PACE_S, 2.0 * pace_s)
+                await trio.sleep(pace_s)
             else:
                 await trio.sleep(retry_s)
                 retry_s = min(MAX_RETRY_S, 2.0 * retry_s)
@@ -136,7 +147,7 @@
         if isinstance(outcome, Failure):
             self._sure = False
             self.choice.failed(member, now)
-            self._feed(ev.StoreLost(outcome.failure().detail))
+            self._lost(outcome.failure().detail, member)
             return False
         batch = outcome.unwrap()
         if batch is None:
@@ -149,13 +160,17 @@
         self._apply(batch)
         if batch.age_s > STALE_S:
             self.choice.failed(member, now)
-            self._feed(ev.StoreLost(f"nothing new for {batch.age_s:.1f} s"))
+            self._lost("stale", member)
             return False
         self.confirmed_at = max(self.confirmed_at, now - batch.age_s)
         self.choice.answered(member)
-        self._feed(ev.StoreBack())
+        self._feed(ev.StoreBack(source_name(member), self.log.revision, batch.age_s))
         return True
 
+    def _lost(self, reason: str, member: Member | None) -> None:
+        age_s = min(self.age_s(trio.current_time()), MAX_AGE_S)
+        self._feed(ev.StoreLost(reason, source_name(member), age_s))
+
     async def _ask(self, member: Member | None) -> Result[Batch | None, StoreError] | None:
         """Ask a source; None when interrupted."""
         if member is not None:
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/leafcaller.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/leafcaller.py
@@ -18,6 +18,7 @@
 from cactussaddle_core.fanout.model import CallEnd
 from cactussaddle_core.fanout.model import CallEnding
 from cactussaddle_core.fleet.probing import Health
+from cactussaddle_core.fleet.probing import ProbeEnd
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -31,7 +32,7 @@
 
 CONNECT_TIMEOUT_S = 1.0
 PROBE_TIMEOUT_S = 0.8
-NO_ANSWER = Health(leaf="", healthy=False, cold_left_s=None, work_s=0.0)
+NO_ANSWER = Health(end=ProbeEnd.SILENT, leaf="", healthy=False, cold_left_s=None, work_s=0.0)
 
 
 class LeafCaller:
@@ -64,6 +65,7 @@
         for kept in leaves:
             pool = self._pool(kept.leaf)
             pool.most = kept.most
+            pool.idle_limit_s = min(pool.idle_limit_s, kept.idle_s)
             pool.warm(kept.warm)
 
     def send(self, call: Call, deadline_s: float) -> None:
@@ -129,7 +131,6 @@
         self._feed(ev.CallEnded(CallEnd(call.call_id, _ending(end.loss), end.detail)))
 
     async def _probe(self, leaf: Leaf, health_path: str) -> None:
-        health = NO_ANSWER
         trips: list[float] = []
         started = trio.current_time()
         async with trio.open_nursery() as nursery:
@@ -139,6 +140,8 @@
             if end.response is not None:
                 took_s = trio.current_time() - started
                 health = self._wire.decode_health(end.response, took_s - 2.0 * sum(trips))
+            else:
+                health = NO_ANSWER._replace(end=_PROBE_ENDS.get(end.loss, ProbeEnd.RESET))
             pool.abort()
         self._feed(ev.ProbeEnded(leaf.name, health))
 
@@ -149,3 +152,9 @@
     if loss is Loss.CANCELLED:
         return CallEnding.CANCELLED
     return CallEnding.BROKEN
+
+
+_PROBE_ENDS: dict[Loss | None, ProbeEnd] = {
+    Loss.NOT_CONNECTED: ProbeEnd.NOT_CONNECTED,
+    Loss.CANCELLED: ProbeEnd.SILENT,
+}
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/register.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/register.py
@@ -11,6 +11,8 @@
 from returns.result import Failure
 
 from cactussaddle_core.edge.effects import Note
+from cactussaddle_core.edge.logevents import Registered
+from cactussaddle_core.edge.logevents import RegistrationLost
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -19,10 +21,10 @@
 
     from cactussaddle_common.storeapi import StoreError
 
-LEASE_S = 9.0
+LEASE_S = 20.0
 # A node that reads the store renews more often than the lease needs: it shows that the store answers.
 KEEP_EVERY_S = 1.0
-KEEP_SELDOM_S = 3.0
+KEEP_SELDOM_S = 8.0
 KEEP_TIMEOUT_S = 0.8
 RETRY_S = 0.5
 
@@ -56,13 +58,13 @@
     while True:
         entered = await store.enter(LEASE_S)
         if isinstance(entered, Failure):
-            hooks.note(Note("not_registered", {"reason": entered.failure().detail}))
+            hooks.note(Note(RegistrationLost(entered.failure().detail)))
             await trio.sleep(RETRY_S)
             continue
         lease = entered.unwrap()
-        hooks.note(Note("registered", {"lease": lease}))
+        hooks.note(Note(Registered(lease)))
         await _keep(store, lease, hooks)
-        hooks.note(Note("registration_lost", {"lease": lease}))
+        hooks.note(Note(RegistrationLost("the lease has ended")))
 
 
 async def _keep(store: Leases, lease: int, hooks: RegisterHooks) -> None:
