--- a/packages/cactussaddle-common/src/cactussaddle_common/http/requestreader.py
+++ b/packages/cactussaddle-common/src/cactussaddle_common/http/requestreader.py
@@ -57,9 +57,8 @@
 
     def feed(self, data: bytes) -> None:
         """Take in bytes; raise `RequestFaultError` when they can't be served."""
+        finished = len(self.requests)
         self.begun = True
-        if not self.head_done:
-            self._unparsed += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as exc:
@@ -69,8 +68,10 @@
             if isinstance(cause, RequestFaultError):
                 raise cause from None
             raise RequestFaultError(Fault.MALFORMED, str(exc)) from exc
-        if self.begun and not self.head_done and self._unparsed > self.limits.max_header_bytes:
-            raise RequestFaultError(Fault.HEADERS_TOO_LARGE, "headers too large")
+        if self.begun and not self.head_done and len(self.requests) == finished:
+            self._unparsed += len(data)
+            if self._unparsed > self.limits.max_header_bytes:
+                raise RequestFaultError(Fault.HEADERS_TOO_LARGE, "headers too large")
 
     def on_message_begin(self) -> None:
         """Begin a request (called by the parser)."""
--- a/packages/cactussaddle-core/src/cactussaddle_core/fleet/book.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fleet/book.py
@@ -115,7 +115,10 @@
 
     def note_standing(self, leaf: Leaf, cause: str, now: float) -> None:
         """Remember that what is believed of a leaf may change now, and what shows it."""
-        if len(self._noted) < MAX_NOTED and leaf.name not in self._noted:
+        known = self._noted.get(leaf.name)
+        if known is not None:
+            self._noted[leaf.name] = (known[0], known[1], cause)
+        elif len(self._noted) < MAX_NOTED:
             self._noted[leaf.name] = (leaf.standing, leaf.is_slow(now), cause)
 
     def take_standings(self, now: float) -> list[LeafStanding]:
--- a/packages/cactussaddle-core/src/cactussaddle_core/fleet/probing.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fleet/probing.py
@@ -60,7 +60,8 @@
         fleet.probes.ask(name, now + RESET_WAIT_S)
         return
     if health.end is ProbeEnd.SILENT:
-        fleet.suspect(leaf, Standing.SUSPECT, now, health.end.value)
+        first = leaf.standing is Standing.READY
+        fleet.suspect(leaf, Standing.SUSPECT if first else Standing.DOWN, now, health.end.value)
         return
     if health.end is ProbeEnd.NOT_CONNECTED or health.leaf != name or not health.healthy:
         fleet.suspect(leaf, Standing.DOWN, now, _cause(leaf, health))
--- a/packages/cactussaddle-core/src/cactussaddle_core/spread/log.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/spread/log.py
@@ -32,13 +32,11 @@
 
     def add(self, records: Iterable[Record], revision: int) -> list[Record]:
         """Take in changes up to `revision`; return those that are news here."""
-        news = [record for record in records if self._is_news(record)]
-        for record in news:
-            if record.value is None:
-                self._newest.pop(record.key, None)
-            else:
-                self._newest[record.key] = record
-            self._changes.append(record)
+        news = []
+        for record in records:
+            if self._is_news(record):
+                news.append(record)
+                self._take(record)
         while len(self._changes) > MAX_CHANGES:
             self._complete_since = self._changes.popleft().revision
         self.revision = max(self.revision, revision)
@@ -51,8 +49,15 @@
         changes = tuple(record for record in self._changes if record.revision > revision)
         return Batch(changes, self.revision, False, age_s)
 
+    def _take(self, record: Record) -> None:
+        if record.value is None:
+            self._newest.pop(record.key, None)
+        else:
+            self._newest[record.key] = record
+        self._changes.append(record)
+
     def _is_news(self, record: Record) -> bool:
         known = self._newest.get(record.key)
         if known is not None:
             return record.revision > known.revision
-        return record.revision > self.revision or record.value is not None
+        return record.value is not None and record.revision > self.revision
--- /dev/null
+++ b/tests/common/http/test_channel.py
@@ -0,0 +1,196 @@
+from __future__ import annotations
+
+import socket
+import unittest
+
+from typing import Any
+
+import trio
+
+from cactussaddle_common.http.channel import Exchange
+from cactussaddle_common.http.channel import Loss
+from cactussaddle_common.http.fetch import fetch
+from cactussaddle_common.http.pool import Pool
+from cactussaddle_common.http.pool import PoolSettings
+from tests.node.edge.servers import read_request
+from tests.node.edge.servers import reply
+from tests.node.edge.servers import served
+
+REQUEST = b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+def run(handler, body, most: int = 2):
+    async def main():
+        async with served(handler) as address, trio.open_nursery() as nursery:
+            settings = PoolSettings(most, 0.5, lambda took_s: None)
+            pool = Pool(address=address, nursery=nursery, settings=settings)
+            await body(pool)
+            pool.abort()
+
+    trio.run(main)
+
+
+def body_of(end: Any) -> bytes:
+    return bytes(end.response.body)
+
+
+async def answers(stream):
+    async with stream:
+        while await read_request(stream):
+            await stream.send_all(reply())
+
+
+class PoolTest(unittest.TestCase):
+    def test_a_connection_is_used_again(self):
+        async def body(pool):
+            for _ in range(3):
+                end = await fetch(pool, REQUEST, 1.0)
+                self.assertEqual(body_of(end), b"ok")
+            self.assertEqual(len(pool.channels), 1)
+            self.assertTrue(end.reused)
+
+        run(answers, body)
+
+    def test_no_more_connections_than_allowed(self):
+        async def never(stream):
+            await trio.sleep_forever()
+
+        async def body(pool):
+            ends: list[Any] = []
+            async with trio.open_nursery() as nursery:
+                for _ in range(3):
+                    nursery.start_soon(self.keep, pool, ends)
+            details = sorted(end.detail for end in ends)
+            self.assertEqual(details, ["", "", "no connection allowed"])
+
+        run(never, body)
+
+    async def keep(self, pool, ends):
+        ends.append(await fetch(pool, REQUEST, 0.2))
+
+    def test_an_answer_and_one_more_is_taken_and_the_connection_dropped(self):
+        async def twice(stream):
+            async with stream:
+                while await read_request(stream):
+                    await stream.send_all(reply() + reply(b"more"))
+
+        async def body(pool):
+            end = await fetch(pool, REQUEST, 1.0)
+            self.assertEqual(body_of(end), b"ok")
+            self.assertEqual(len(pool.channels), 0)
+
+        run(twice, body)
+
+    def test_bytes_on_an_idle_connection_end_it(self):
+        async def late(stream):
+            async with stream:
+                await read_request(stream)
+                await stream.send_all(reply())
+                await trio.sleep(0.02)
+                await stream.send_all(reply(b"more"))
+                await read_request(stream)
+
+        async def body(pool):
+            await fetch(pool, REQUEST, 1.0)
+            await trio.sleep(0.1)
+            self.assertEqual(len(pool.channels), 0)
+
+        run(late, body)
+
+    def test_an_answer_to_another_request_is_passed_over(self):
+        async def crossed(stream):
+            async with stream:
+                await read_request(stream)
+                await stream.send_all(reply(b"other") + reply(b"mine"))
+                await trio.sleep(1.0)
+
+        async def body(pool):
+            ends: list[Any] = []
+            exchange = Exchange(
+                data=REQUEST,
+                left=lambda: None,
+                accept=lambda response: response.body == b"mine",
+                ended=ends.append,
+            )
+            pool.start(exchange)
+            await trio.sleep(0.1)
+            self.assertEqual(ends[0].response.body, b"mine")
+            self.assertEqual(len(pool.channels), 0)
+
+        run(crossed, body)
+
+    def test_an_answer_that_breaks_off_is_none(self):
+        async def short(stream):
+            async with stream:
+                await read_request(stream)
+                await stream.send_all(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc")
+
+        async def body(pool):
+            end = await fetch(pool, REQUEST, 1.0)
+            self.assertEqual((end.response, end.loss), (None, Loss.CLOSED))
+
+        run(short, body)
+
+    def test_an_answer_without_a_length_that_is_reset_is_none(self):
+        async def reset(stream):
+            await read_request(stream)
+            await stream.send_all(b"HTTP/1.1 200 OK\r\n\r\nabc")
+            await trio.sleep(0.05)
+            linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+            stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            stream.socket.close()
+
+        async def body(pool):
+            end = await fetch(pool, REQUEST, 1.0)
+            self.assertEqual((end.response, end.loss), (None, Loss.RESET))
+
+        run(reset, body)
+
+    def test_nobody_listening_is_not_connected(self):
+        async def main():
+            async with trio.open_nursery() as nursery:
+                async with served(answers) as address:
+                    pass
+                settings = PoolSettings(1, 0.5, lambda took_s: None)
+                pool = Pool(address=address, nursery=nursery, settings=settings)
+                end = await fetch(pool, REQUEST, 1.0)
+                self.assertEqual(end.loss, Loss.NOT_CONNECTED)
+
+        trio.run(main)
+
+    def test_a_call_without_an_answer_is_given_up_with_its_connection(self):
+        async def silent(stream):
+            await trio.sleep_forever()
+
+        async def body(pool):
+            end = await fetch(pool, REQUEST, 0.1)
+            self.assertEqual(end.loss, Loss.CANCELLED)
+            self.assertEqual(len(pool.channels), 0)
+
+        run(silent, body)
+
+    def test_a_connection_that_was_dropped_while_idle_shortens_the_idle_time(self):
+        async def body(pool):
+            before = pool.idle_limit_s
+            pool.dropped_idle(0.4)
+            self.assertLess(pool.idle_limit_s, before)
+            self.assertAlmostEqual(pool.idle_limit_s, 0.2)
+
+        run(answers, body)
+
+    def test_a_fresh_exchange_never_takes_an_idle_connection(self):
+        async def body(pool):
+            await fetch(pool, REQUEST, 1.0)
+            ends: list[Any] = []
+            exchange = Exchange(
+                data=REQUEST, left=lambda: None, accept=lambda response: True, ended=ends.append
+            )
+            pool.start(exchange, fresh=True)
+            await trio.sleep(0.1)
+            self.assertFalse(ends[0].reused)
+
+        run(answers, body)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/common/http/test_readers.py
@@ -0,0 +1,113 @@
+from __future__ import annotations
+
+import unittest
+
+from cactussaddle_common.http.requestreader import Fault
+from cactussaddle_common.http.requestreader import RequestFaultError
+from cactussaddle_common.http.requestreader import RequestReader
+from cactussaddle_common.http.response import BadResponseError
+from cactussaddle_common.http.response import ResponseReader
+from cactussaddle_core.routing.model import CallerLimits
+
+LIMITS = CallerLimits(
+    max_header_bytes=300, max_body_bytes=50, header_timeout_s=3.0, idle_timeout_s=15.0
+)
+
+
+class ResponseReaderTest(unittest.TestCase):
+    def setUp(self):
+        self.reader = ResponseReader()
+
+    def test_a_response_in_pieces(self):
+        for piece in (b"HTTP/1.1 200 OK\r\nContent-Le", b"ngth: 4\r\nX-A: 1\r\n\r\nab", b"cd"):
+            self.assertEqual(self.reader.responses, [])
+            self.reader.feed(piece)
+        response = self.reader.responses[0]
+        self.assertEqual((response.status, response.body), (200, b"abcd"))
+        self.assertEqual(response.header(b"x-a"), b"1")
+        self.assertTrue(self.reader.keep_alive)
+
+    def test_a_second_response_is_seen(self):
+        self.reader.feed(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" * 2)
+        self.assertEqual(len(self.reader.responses), 2)
+
+    def test_the_start_of_a_second_response_is_seen(self):
+        self.reader.feed(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nHTTP/1.1 2")
+        self.assertEqual((len(self.reader.responses), self.reader.started), (1, True))
+
+    def test_a_body_without_a_length_ends_with_the_connection(self):
+        self.reader.feed(b"HTTP/1.1 200 OK\r\n\r\nabc")
+        self.assertEqual(self.reader.responses, [])
+        self.assertTrue(self.reader.end())
+        self.assertEqual(self.reader.responses[0].body, b"abc")
+        self.assertFalse(self.reader.keep_alive)
+
+    def test_a_body_shorter_than_its_length_is_not_whole(self):
+        self.reader.feed(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc")
+        self.assertFalse(self.reader.end())
+        self.assertEqual(self.reader.responses, [])
+
+    def test_a_chunked_body_that_breaks_off_is_not_whole(self):
+        self.reader.feed(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n")
+        self.assertFalse(self.reader.end())
+
+    def test_interim_responses_are_left_aside(self):
+        self.reader.feed(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n")
+        self.assertEqual([r.status for r in self.reader.responses], [204])
+
+    def test_nonsense_is_told(self):
+        for data in (b"\x00\x01garbage\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n"):
+            with self.assertRaises(BadResponseError):
+                ResponseReader().feed(data)
+
+    def test_a_connection_that_is_to_close_is_not_kept(self):
+        self.reader.feed(b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+        self.assertFalse(self.reader.keep_alive)
+
+
+class RequestReaderTest(unittest.TestCase):
+    def setUp(self):
+        self.reader = RequestReader(limits=LIMITS)
+
+    def fault(self, data: bytes) -> Fault:
+        with self.assertRaises(RequestFaultError) as caught:
+            self.reader.feed(data)
+        return caught.exception.fault
+
+    def test_requests_one_after_another(self):
+        self.reader.feed(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\nPOST /b HTTP/1.1\r\nHo")
+        self.reader.feed(b"st: h\r\nContent-Length: 3\r\n\r\nxyz")
+        seen = [(r.head.method, r.head.target, r.body) for r in self.reader.requests]
+        self.assertEqual(seen, [(b"GET", b"/a", b""), (b"POST", b"/b", b"xyz")])
+        self.assertFalse(self.reader.begun)
+
+    def test_a_body_in_chunks(self):
+        self.reader.feed(b"POST /b HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n")
+        self.reader.feed(b"2\r\nab\r\n1\r\nc\r\n0\r\n\r\n")
+        self.assertEqual(self.reader.requests[0].body, b"abc")
+
+    def test_a_request_with_two_framings_is_refused(self):
+        data = b"POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n"
+        self.assertEqual(self.fault(data), Fault.MALFORMED)
+
+    def test_a_request_with_two_lengths_is_refused(self):
+        data = b"POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 5\r\n\r\nabc"
+        self.assertEqual(self.fault(data), Fault.MALFORMED)
+
+    def test_limits(self):
+        self.assertEqual(self.fault(b"GET / HTTP/1.1\r\nX: " + b"a" * 400), Fault.HEADERS_TOO_LARGE)
+        self.setUp()
+        data = b"POST / HTTP/1.1\r\nContent-Length: 51\r\n\r\n" + b"a" * 51
+        self.assertEqual(self.fault(data), Fault.BODY_TOO_LARGE)
+
+    def test_a_request_under_way_shows(self):
+        self.reader.feed(b"POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+        self.assertTrue(self.reader.begun and self.reader.head_done)
+        self.assertTrue(self.reader.expects_continue)
+        self.reader.feed(b"ab")
+        self.assertEqual(len(self.reader.requests), 1)
+        self.assertFalse(self.reader.expects_continue)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/core/edge/test_edge.py
@@ -0,0 +1,142 @@
+from __future__ import annotations
+
+import random
+import unittest
+
+from cactussaddle_core.edge import effects as fx
+from cactussaddle_core.edge import events as ev
+from cactussaddle_core.edge import logevents as log
+from cactussaddle_core.edge.stopping import Stopping
+from cactussaddle_core.fanout.model import CallEnding
+from cactussaddle_core.spread.model import Member
+from tests.core.edge.world import DOMAINS
+from tests.core.edge.world import Doing
+from tests.core.edge.world import World
+from tests.core.edge.world import dark
+from tests.core.edge.world import ending
+from tests.core.edge.world import entry
+from tests.core.edge.world import leaf_name
+from tests.core.edge.world import pausing
+from tests.core.edge.world import shedding
+from tests.core.edge.world import slow
+
+
+class StoppingTest(unittest.TestCase):
+    def test_serves_on_until_the_balancer_has_let_go(self):
+        stopping = Stopping()
+        stopping.ask(6.0, 100.0)
+        self.assertFalse(stopping.closing(102.0))
+        self.assertFalse(stopping.may_end(0, 102.0))
+        self.assertTrue(stopping.may_end(0, 103.0))
+        self.assertFalse(stopping.may_end(3, 104.0))
+        self.assertTrue(stopping.may_end(3, 105.5))
+
+    def test_a_second_request_to_stop_changes_nothing(self):
+        stopping = Stopping()
+        stopping.ask(6.0, 100.0)
+        stopping.ask(6.0, 104.0)
+        self.assertTrue(stopping.may_end(0, 104.0))
+
+
+class EdgeTest(unittest.TestCase):
+    def test_a_stop_ends_the_process_only_when_its_requests_have_their_answers(self):
+        world = World()
+        for domain in DOMAINS:
+            world.doing[leaf_name("orders", domain)] = lambda now, rng: Doing(1.5)
+        world.feed(ev.StopAsked(6.0))
+        self.assertFalse(world.state.is_ready())
+        world.run(2.2)
+        req_id = world.ask(b"/u/1", patience_s=5.0)
+        world.run(1.0)
+        self.assertFalse(any(isinstance(e, fx.EndProcess) for e in world.effects))
+        world.run(1.0)
+        self.assertEqual(world.done[req_id].kind, "relayed 200")
+        self.assertTrue(any(isinstance(e, fx.EndProcess) for e in world.effects))
+
+    def test_shares_follow_the_members(self):
+        world = World(nodes=2)
+        few = world.state.connections(world.leaf("s0", DOMAINS[0]), world.now).most
+        members = tuple(Member(f"node-{n}", "127.0.0.1", 1, DOMAINS[0]) for n in range(23))
+        world.feed(ev.MembersListed(members))
+        many = world.state.connections(world.leaf("s0", DOMAINS[0]), world.now).most
+        self.assertEqual((few, many), (46 // 2, 46 // 23))
+
+    def test_random_runs_keep_every_promise(self):
+        for seed in range(12):
+            with self.subTest(seed=seed):
+                random_run(seed)
+
+
+def random_run(seed: int) -> None:
+    """Requests of all kinds among leaves that fail in all ways; promises are asserted inside."""
+    world = World(seed=seed)
+    rng = random.Random(seed)
+    kinds = [
+        slow(6.0),
+        dark,
+        pausing(1.0),
+        shedding(0.5),
+        ending(CallEnding.BROKEN),
+        ending(CallEnding.FAILED),
+        ending(CallEnding.NOT_SENT),
+        None,
+    ]
+    names = list(world.state.fleet.leaves)
+    asked = []
+    for step in range(150):
+        name = rng.choice(names)
+        kind = rng.choice(kinds)
+        if kind is None:
+            world.doing.pop(name, None)
+        else:
+            world.doing[name] = kind
+        service, domain = name.rsplit("-", 1)
+        act = rng.random()
+        if act < 0.05:
+            world.feed(ev.LeafRemoved(name))
+        elif act < 0.1:
+            world.feed(ev.LeafChanged(entry(service, domain, born_ms=step + 2)))
+        elif act < 0.13:
+            world.feed(ev.StoreLost("out", "store", 0.0))
+        elif act < 0.16:
+            world.feed(ev.StoreBack("store", step, 0.0))
+        elif act < 0.2:
+            world.feed(ev.DomainMarked(rng.choice(DOMAINS), rng.random() < 0.3))
+        target = rng.choice([b"/s/x", b"/o/x", b"/u/x"])
+        asked.append(world.ask(target))
+        if rng.random() < 0.05 and asked[-1] not in world.done:
+            world.feed(ev.CallerGone(asked.pop()))
+        world.run(rng.expovariate(10.0))
+    world.run(10.0)
+    for req_id in asked:
+        assert req_id in world.done, f"seed {seed}: request {req_id} has no answer"
+        done = world.done[req_id]
+        assert done.took_s <= 6.0, f"seed {seed}: {done}"
+        runs = [c for c in world.calls_of(req_id) if c.ending not in NOT_RUN]
+        if not done.ran:
+            assert not runs, f"seed {seed}: {done} says not run"
+    assert not world.state.fanout.queries
+    assert not world.state.fanout.calls
+    waiting = [leaf.name for leaf in world.state.fleet.leaves.values() if leaf.waiting]
+    assert not waiting, f"seed {seed}: {waiting}"
+
+
+NOT_RUN = {CallEnding.NOT_SENT, CallEnding.REFUSED, CallEnding.NO_ROOM}
+
+
+class LogEventsTest(unittest.TestCase):
+    def test_names_are_those_of_the_classes(self):
+        self.assertEqual(log.event_name(log.TableInForce), "table_in_force")
+        self.assertEqual(log.event_name(log.RequestEnded), "request_ended")
+
+    def test_a_request_in_trouble_weighs_more_than_one_that_went_well(self):
+        good = log.RequestEnded(
+            "r", "route", "COMPLETE", "", 10.0, 100.0, 1, 1, 1, 0, 0, 1, 0.0, 0.0, ()
+        )
+        self.assertEqual(log.weight_of(good), log.Weight.ROUTINE)
+        self.assertEqual(log.weight_of(good._replace(took_ms=200.0)), log.Weight.FAILURE)
+        self.assertEqual(log.weight_of(good._replace(answered=0)), log.Weight.FAILURE)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/core/edge/test_load.py
@@ -0,0 +1,121 @@
+"""Load patterns replayed against one node: how work is placed, hedged, given up and refused."""
+
+from __future__ import annotations
+
+import unittest
+
+from cactussaddle_core.fanout.model import CallEnding
+from tests.core.edge.world import DOMAINS
+from tests.core.edge.world import World
+from tests.core.edge.world import dark
+from tests.core.edge.world import ending
+from tests.core.edge.world import leaf_name
+from tests.core.edge.world import pausing
+from tests.core.edge.world import shedding
+from tests.core.edge.world import slow
+
+SHARDS = [f"s{number}" for number in range(10)]
+
+
+class LoadTest(unittest.TestCase):
+    def test_a_calm_load_is_whole_and_in_time(self):
+        world = World()
+        asked = world.load(10.0, 10.0)
+        self.assertGreater(world.share_in_time(asked), 0.99)
+        self.assertLess(world.calls_per_part(), 1.12)
+
+    def test_calm_calls_stay_in_the_own_domain(self):
+        world = World()
+        world.load(10.0, 10.0)
+        firsts = [name for _, name, _ in world.sent]
+        near = sum(1 for name in firsts if name.endswith(DOMAINS[0]))
+        self.assertGreater(near / len(firsts), 0.85)
+
+    def test_pauses_are_hedged_in_time(self):
+        world = World()
+        for index, shard in enumerate(SHARDS):
+            for number, domain in enumerate(DOMAINS):
+                world.doing[leaf_name(shard, domain)] = pausing(index * 0.71 + number * 2.3)
+        asked = world.load(10.0, 15.0)
+        self.assertGreater(world.share_in_time(asked), 0.97)
+        self.assertLess(world.calls_per_part(), 1.2)
+
+    def test_leaves_that_turn_slow_are_left_for_others_until_they_are_well(self):
+        world = World()
+        world.load(10.0, 4.0)
+        slow_leaves = [leaf_name(shard, DOMAINS[0]) for shard in SHARDS[:3]]
+        for name in slow_leaves:
+            world.doing[name] = slow(8.0)
+            world.probe_factor[name] = lambda now: 8.0
+        started = world.now
+        asked = world.load(10.0, 8.0)
+        self.assertGreater(world.share_in_time(asked), 0.93)
+        late = [name for at, name, _ in world.sent if at > started + 1.5 and name in slow_leaves]
+        self.assertLess(len(late), 12)
+        for name in slow_leaves:
+            del world.doing[name], world.probe_factor[name]
+        world.run(3.0)
+        before = len(world.sent)
+        world.load(10.0, 4.0)
+        back = [name for _, name, _ in world.sent[before:] if name in slow_leaves]
+        self.assertGreater(len(back), 60)
+
+    def test_a_dark_leaf_costs_few_requests(self):
+        world = World()
+        world.load(10.0, 4.0)
+        for shard in SHARDS[:2]:
+            name = leaf_name(shard, DOMAINS[0])
+            world.doing[name] = dark
+            world.probe_factor[name] = lambda now: None
+        asked = world.load(10.0, 6.0)
+        self.assertGreater(world.share_in_time(asked), 0.95)
+
+    def test_a_shard_without_leaves_is_left_out_at_once(self):
+        world = World()
+        world.load(10.0, 3.0)
+        for domain in DOMAINS:
+            world.doing[leaf_name("s3", domain)] = ending(CallEnding.NOT_SENT, 0.0005)
+        asked = world.load(10.0, 5.0)
+        done = [world.done[req_id] for req_id in asked]
+        self.assertTrue(all(answer.kind == "merged" for answer in done))
+        self.assertLess(max(answer.took_s for answer in done), 0.3)
+
+    def test_what_cannot_be_served_is_refused_at_once_with_a_time_to_come_back(self):
+        world = World()
+        world.load(10.0, 2.0)
+        for shard in SHARDS[:4]:
+            for domain in DOMAINS:
+                name = leaf_name(shard, domain)
+                world.doing[name] = ending(CallEnding.NOT_SENT, 0.0005)
+                world.probe_factor[name] = lambda now: None
+        world.load(10.0, 1.0)
+        req_id = world.ask()
+        world.run(0.01)
+        answer = world.done[req_id]
+        self.assertEqual((answer.kind, answer.ran), ("NOT_RUN", False))
+        self.assertGreater(answer.retry_after_s, 0.0)
+
+    def test_extra_calls_keep_the_budget_while_leaves_shed(self):
+        world = World(nodes=1)
+        for shard in SHARDS:
+            for domain in DOMAINS:
+                world.doing[leaf_name(shard, domain)] = shedding(0.6)
+        asked = world.load(20.0, 25.0)
+        arrivals = [(world.started_at(req_id), 1) for req_id in asked]
+        for shard in SHARDS:
+            calls = [call for req_id in asked for call in world.calls_of(req_id, shard)]
+            seen: set[int] = set()
+            extras = []
+            for call in calls:
+                req_id = call.part.query.request.req_id
+                if req_id in seen:
+                    extras.append(call.sent_at)
+                seen.add(req_id)
+            for start in range(100, 130):
+                window = [at for at in extras if start <= at < start + 10]
+                firsts = sum(count for at, count in arrivals if start <= at < start + 10)
+                self.assertLessEqual(len(window), 0.2 * firsts + 56.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/core/edge/world.py
@@ -0,0 +1,305 @@
+"""One node's reducer among leaves that answer as told, on a virtual clock.
+
+A leaf is a function of the time, the query and a random number: how long it takes, or how it fails.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+
+from typing import Any
+from typing import NamedTuple
+
+from cactussaddle_core.edge import effects as fx
+from cactussaddle_core.edge import events as ev
+from cactussaddle_core.edge.reduce import reduce
+from cactussaddle_core.edge.state import EdgeIdentity
+from cactussaddle_core.edge.state import EdgeRules
+from cactussaddle_core.edge.state import EdgeState
+from cactussaddle_core.fanout import model as fan
+from cactussaddle_core.fleet.model import LeafEntry
+from cactussaddle_core.fleet.probing import Health
+from cactussaddle_core.fleet.probing import ProbeEnd
+from cactussaddle_core.limits.budget import BudgetRules
+from cactussaddle_core.limits.cold import ColdRules
+from cactussaddle_core.routing.model import Route
+from cactussaddle_core.routing.model import ServiceSpec
+from cactussaddle_core.routing.model import Target
+from cactussaddle_core.routing.table import RoutingTable
+from cactussaddle_core.spread.model import Member
+
+DOMAINS = ("north", "south", "west")
+HOME = "north"
+FAR_TRIP_S = 0.04
+NEAR_TRIP_S = 0.0003
+WORK_S = 0.04
+PROBE_S = 0.007
+ALL = BudgetRules(ratio=0.2, allowance=56.0, window_s=10.0)
+
+
+class Doing(NamedTuple):
+    """What a leaf does with one call: its work, or how the call ends after `work_s`."""
+
+    work_s: float
+    ending: fan.CallEnding = fan.CallEnding.ANSWERED
+
+
+class Done(NamedTuple):
+    """An answer as the caller got it."""
+
+    req_id: int
+    kind: str
+    took_s: float
+    missing: int
+    ran: bool
+    retry_after_s: float
+    at: float
+
+
+def leaf_name(service: str, domain: str) -> str:
+    return f"{service}-{domain}"
+
+
+def entry(service: str, domain: str, **changes: Any) -> LeafEntry:
+    made = LeafEntry(
+        leaf=leaf_name(service, domain),
+        service=service,
+        host="127.0.0.1",
+        port=1,
+        domain=domain,
+        version="v1",
+        slots=6,
+        draining=False,
+        cold_left_s=0.0,
+        born_ms=1,
+        sequence=1,
+    )
+    return made._replace(**changes)
+
+
+def gather_route(shards: int = 10, least: float = 0.89, objective_s: float = 0.297) -> Route:
+    return Route(
+        name="search",
+        host="h",
+        prefix="/s/",
+        idempotent=True,
+        timeout_s=1.5,
+        objective_s=objective_s,
+        priority=1,
+        max_leaves=2,
+        targets=(),
+        shards=tuple(f"s{number}" for number in range(shards)),
+        top=10,
+        least=least,
+        regions=frozenset(),
+    )
+
+
+def single_route(idempotent: bool = True) -> Route:
+    return gather_route()._replace(
+        name="order",
+        prefix="/o/",
+        idempotent=idempotent,
+        timeout_s=6.0,
+        objective_s=1.0,
+        shards=(),
+        targets=(Target("orders", 1.0),),
+    )
+
+
+class World:
+    """A node, leaves of ten shards and one plain service in three domains, and a clock."""
+
+    def __init__(self, *, seed: int = 1, shards: int = 10, nodes: int = 8, rules=ALL) -> None:
+        self.now = 100.0
+        self.rng = random.Random(seed)
+        region_of = {domain: f"region-{domain}" for domain in DOMAINS}
+        self.state = EdgeState(
+            me=EdgeIdentity("node-0", HOME, region_of),
+            rules=EdgeRules(rules, ColdRules(over=1.5, slack=5.0)),
+            seed=seed,
+        )
+        self.doing: dict[str, Any] = {}
+        self.probe_factor: dict[str, Any] = {}
+        self.done: dict[int, Done] = {}
+        self.sent: list[tuple[float, str, int]] = []
+        self.notes: list[Any] = []
+        self.effects: list[Any] = []
+        self._events: list[tuple[float, int, ev.Event]] = []
+        self._order = itertools.count()
+        self._started: dict[int, float] = {}
+        self._calls: dict[int, Any] = {}
+        self._probing: set[str] = set()
+        self._next_req = 0
+        self.routes = [
+            gather_route(shards),
+            single_route(),
+            single_route(False)._replace(name="once", prefix="/u/"),
+        ]
+        services = [f"s{number}" for number in range(shards)] + ["orders"]
+        self.feed(ev.TableSeen(self.table(1, services)))
+        self.feed(ev.LeavesListed(tuple(entry(s, d) for s in services for d in DOMAINS)))
+        members = tuple(Member(f"node-{n}", "127.0.0.1", 1, HOME) for n in range(nodes))
+        self.feed(ev.MembersListed(members))
+        self.run(2.0)
+
+    def table(self, version: int, services: list[str]) -> RoutingTable:
+        specs = [ServiceSpec(name, "/health", 46, 3.0, 0.0) for name in services]
+        return RoutingTable(version=version, routes=self.routes, services=specs)
+
+    def feed(self, event: ev.Event) -> None:
+        for effect in reduce(self.state, event, self.now):
+            self.effects.append(effect)
+            self._carry_out(effect)
+
+    def later(self, delay_s: float, event: ev.Event) -> None:
+        heapq.heappush(self._events, (self.now + delay_s, next(self._order), event))
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        until = self.now + seconds
+        while True:
+            due = self.state.next_due()
+            event_at = self._events[0][0] if self._events else until
+            if min(due, event_at) >= until:
+                self.now = until
+                return
+            if event_at <= due:
+                self.now, _, event = heapq.heappop(self._events)
+                self.feed(event)
+            else:
+                self.now = max(self.now, due)
+                self.feed(ev.Tick())
+
+    def ask(self, target: bytes = b"/s/x", patience_s: float = 1.5, body: bytes = b"") -> int:
+        self._next_req += 1
+        req_id = self._next_req
+        self._started[req_id] = self.now
+        request = fan.CallerRequest(req_id, f"r{req_id}", b"GET", target, "h", (), body, patience_s)
+        self.feed(ev.RequestArrived(request))
+        return req_id
+
+    def load(self, per_s: float, seconds: float, target: bytes = b"/s/x") -> list[int]:
+        """Ask at random times at a mean rate; return the requests."""
+        asked = []
+        until = self.now + seconds
+        while self.now < until:
+            asked.append(self.ask(target))
+            self.run(self.rng.expovariate(per_s))
+        self.run(2.0)
+        return asked
+
+    def share_in_time(self, asked: list[int], objective_s: float = 0.297) -> float:
+        """Return the credit of the requests: the square of the coverage where in time."""
+        credit = 0.0
+        for req_id in asked:
+            done = self.done.get(req_id)
+            if done is not None and done.kind == "merged" and done.took_s <= objective_s:
+                credit += (1.0 - done.missing / 10.0) ** 2
+        return credit / len(asked)
+
+    def calls_per_part(self) -> float:
+        """Return how many calls were sent for each first one."""
+        firsts = sum(1 for call in self._calls.values() if call.reason == "first")
+        return len(self._calls) / max(1, firsts)
+
+    def calls_of(self, req_id: int, service: str = "") -> list[Any]:
+        calls = [c for c in self._calls.values() if c.part.query.request.req_id == req_id]
+        return [c for c in calls if service in ("", c.part.service)]
+
+    def started_at(self, req_id: int) -> float:
+        return self._started[req_id]
+
+    def leaf(self, service: str, domain: str) -> Any:
+        return self.state.fleet.leaves[leaf_name(service, domain)]
+
+    def _carry_out(self, effect: Any) -> None:
+        if isinstance(effect, fan.SendCall):
+            self._send(effect.call)
+        elif isinstance(effect, fan.EndCall):
+            end = fan.CallEnd(effect.call.call_id, fan.CallEnding.CANCELLED, "")
+            self.later(effect.linger_s, ev.CallEnded(end))
+        elif isinstance(effect, fan.ProbeLeaf):
+            self._probe(effect.leaf)
+        elif isinstance(effect, fan.Merged):
+            self._answer(effect.query.request.req_id, "merged", effect.missing, True, 0.0)
+        elif isinstance(effect, fan.Relayed):
+            kind = f"relayed {effect.reply.status}"
+            self._answer(effect.query.request.req_id, kind, 0, True, 0.0)
+        elif isinstance(effect, fan.Declined):
+            kind = effect.code.name
+            self._answer(effect.req_id, kind, 0, effect.ran, effect.retry_after_s)
+        elif isinstance(effect, fx.Note):
+            self.notes.append(effect.event)
+
+    def _answer(self, req_id: int, kind: str, missing: int, ran: bool, after_s: float) -> None:
+        assert req_id not in self.done, "a second answer"
+        took_s = self.now - self._started[req_id]
+        self.done[req_id] = Done(req_id, kind, took_s, missing, ran, after_s, self.now)
+
+    def _trip_s(self, leaf: Any) -> float:
+        return NEAR_TRIP_S if leaf.entry.domain == HOME else FAR_TRIP_S
+
+    def _send(self, call: Any) -> None:
+        self._calls[call.call_id] = call
+        self.sent.append((self.now, call.leaf.name, call.part.query.request.req_id))
+        self.later(0.0, ev.CallLeft(call.call_id))
+        does = self.doing.get(call.leaf.name, usual)(self.now, self.rng)
+        if does is None:
+            return
+        reply = None
+        if does.ending is fan.CallEnding.ANSWERED:
+            body = bytes([self.rng.randrange(256)]) * 16
+            reply = fan.LeafReply(200, (), body, f"sig-{call.call_id}")
+        elif does.ending is fan.CallEnding.FAILED:
+            reply = fan.LeafReply(500, (), b"", "sig")
+        end = fan.CallEnd(call.call_id, does.ending, "", reply)
+        self.later(self._trip_s(call.leaf) + does.work_s, ev.CallEnded(end))
+
+    def _probe(self, leaf: Any) -> None:
+        factor = self.probe_factor.get(leaf.name, lambda now: 1.0)(self.now)
+        if factor is None:
+            health = Health(ProbeEnd.SILENT, "", False, None, 0.0)
+            self.later(0.8, ev.ProbeEnded(leaf.name, health))
+            return
+        work_s = PROBE_S * factor
+        health = Health(ProbeEnd.ANSWERED, leaf.name, True, None, work_s)
+        self.later(2.0 * self._trip_s(leaf) + work_s, ev.ProbeEnded(leaf.name, health))
+
+
+def usual(now: float, rng: random.Random) -> Doing:
+    return Doing(WORK_S * rng.lognormvariate(0.0, 0.35))
+
+
+def slow(factor: float) -> Any:
+    return lambda now, rng: Doing(factor * usual(now, rng).work_s)
+
+
+def dark(now: float, rng: random.Random) -> Doing | None:
+    return None
+
+
+def pausing(offset_s: float, pause_s: float = 0.3, every_s: float = 7.5) -> Any:
+    """Return a leaf that stands still for a while at regular times."""
+
+    def does(now: float, rng: random.Random) -> Doing:
+        into_s = (now + offset_s) % every_s
+        wait_s = pause_s - into_s if into_s < pause_s else 0.0
+        return Doing(wait_s + usual(now, rng).work_s)
+
+    return does
+
+
+def shedding(share: float) -> Any:
+    def does(now: float, rng: random.Random) -> Doing:
+        if rng.random() < share:
+            return Doing(0.001, fan.CallEnding.REFUSED)
+        return usual(now, rng)
+
+    return does
+
+
+def ending(kind: fan.CallEnding, after_s: float = 0.002) -> Any:
+    return lambda now, rng: Doing(after_s, kind)
--- /dev/null
+++ b/tests/core/fanout/test_reduce.py
@@ -0,0 +1,210 @@
+from __future__ import annotations
+
+import unittest
+
+from cactussaddle_core.edge import events as ev
+from cactussaddle_core.fanout import model as fan
+from cactussaddle_core.fanout.model import CallEnding
+from cactussaddle_core.fleet.model import Standing
+from tests.core.edge.world import DOMAINS
+from tests.core.edge.world import Doing
+from tests.core.edge.world import World
+from tests.core.edge.world import dark
+from tests.core.edge.world import ending
+from tests.core.edge.world import entry
+from tests.core.edge.world import gather_route
+from tests.core.edge.world import leaf_name
+
+
+def everywhere(world: World, service: str, does) -> None:
+    for domain in DOMAINS:
+        world.doing[leaf_name(service, domain)] = does
+
+
+class GatherTest(unittest.TestCase):
+    def setUp(self):
+        self.world = World()
+
+    def answer(self, seconds: float = 3.0, target: bytes = b"/s/x"):
+        req_id = self.world.ask(target)
+        self.world.run(seconds)
+        return self.world.done[req_id]
+
+    def test_one_leaf_of_each_shard_is_asked(self):
+        req_id = self.world.ask()
+        services = [call.part.service for call in self.world.calls_of(req_id)]
+        self.assertEqual(sorted(services), sorted(f"s{n}" for n in range(10)))
+
+    def test_a_part_that_stays_away_is_left_out_just_before_the_objective(self):
+        everywhere(self.world, "s4", dark)
+        answer = self.answer()
+        self.assertEqual((answer.kind, answer.missing), ("merged", 1))
+        self.assertLess(answer.took_s, 0.297)
+        self.assertGreater(answer.took_s, 0.27)
+
+    def test_below_the_least_share_the_answer_waits_for_more(self):
+        for shard in ("s4", "s5"):
+            everywhere(self.world, shard, lambda now, rng: Doing(0.5))
+        answer = self.answer()
+        self.assertEqual((answer.kind, answer.missing), ("merged", 1))
+        self.assertGreater(answer.took_s, 0.5)
+
+    def test_below_the_least_share_at_the_deadline_it_is_no_success(self):
+        for shard in ("s4", "s5"):
+            everywhere(self.world, shard, dark)
+        answer = self.answer()
+        self.assertEqual((answer.kind, answer.ran), ("DEADLINE_EXCEEDED", True))
+        self.assertLess(answer.took_s, 1.5)
+
+    def test_a_failure_is_retried_at_another_leaf(self):
+        self.world.doing[leaf_name("s1", DOMAINS[0])] = ending(CallEnding.FAILED)
+        self.world.doing[leaf_name("s2", DOMAINS[0])] = ending(CallEnding.BROKEN)
+        answer = self.answer()
+        self.assertEqual((answer.kind, answer.missing), ("merged", 0))
+
+    def test_no_more_leaves_run_a_part_than_the_route_allows(self):
+        everywhere(self.world, "s1", ending(CallEnding.FAILED))
+        req_id = self.world.ask()
+        self.world.run(3.0)
+        self.assertEqual(len(self.world.calls_of(req_id, "s1")), 2)
+
+    def test_refused_and_unsent_calls_do_not_count_as_runs(self):
+        self.world.doing[leaf_name("s1", DOMAINS[0])] = ending(CallEnding.REFUSED)
+        self.world.doing[leaf_name("s1", DOMAINS[1])] = ending(CallEnding.NOT_SENT)
+        req_id = self.world.ask()
+        self.world.run(3.0)
+        self.assertGreaterEqual(len(self.world.calls_of(req_id, "s1")), 2)
+        self.assertEqual(self.world.done[req_id].missing, 0)
+
+    def test_leaves_that_all_refuse_are_asked_again_after_a_wait(self):
+        until = self.world.now + 0.05
+
+        def does(now, rng):
+            if now < until:
+                return Doing(0.001, CallEnding.REFUSED)
+            return Doing(0.02)
+
+        everywhere(self.world, "s1", does)
+        answer = self.answer()
+        self.assertEqual((answer.kind, answer.missing), ("merged", 0))
+
+    def test_an_answer_given_twice_counts_once(self):
+        world = self.world
+        req_id = world.ask()
+        calls = world.calls_of(req_id)
+        reply = fan.LeafReply(200, (), b"x" * 16, "same")
+        for call in calls[:2]:
+            end = fan.CallEnd(call.call_id, CallEnding.ANSWERED, "", reply)
+            world.feed(ev.CallEnded(end))
+        world.run(3.0)
+        merged = [e for e in world.effects if isinstance(e, fan.Merged)]
+        self.assertEqual(merged[-1].signatures.count("same"), 1)
+
+    def test_a_caller_that_leaves_has_its_calls_ended_at_once(self):
+        req_id = self.world.ask()
+        before = len(self.world.effects)
+        self.world.feed(ev.CallerGone(req_id))
+        ended = [e for e in self.world.effects[before:] if isinstance(e, fan.EndCall)]
+        self.assertEqual([e.linger_s for e in ended], [0.0] * 10)
+        self.world.run(3.0)
+        self.assertNotIn(req_id, self.world.done)
+
+    def test_a_caller_that_leaves_says_nothing_against_its_leaves(self):
+        req_id = self.world.ask()
+        self.world.feed(ev.CallerGone(req_id))
+        self.world.run(0.01)
+        leaves = self.world.state.fleet.leaves.values()
+        self.assertTrue(all(leaf.standing is Standing.READY for leaf in leaves))
+
+    def test_a_loser_is_awaited_for_a_while_then_ended(self):
+        self.world.doing[leaf_name("s1", DOMAINS[0])] = lambda now, rng: Doing(0.9)
+        before = len(self.world.effects)
+        self.answer(0.4)
+        ended = [e for e in self.world.effects[before:] if isinstance(e, fan.EndCall)]
+        self.assertTrue(any(e.linger_s > 0.0 for e in ended))
+
+    def test_leaves_draining_gone_or_in_a_domain_taken_out_get_nothing(self):
+        world = self.world
+        world.feed(ev.LeafChanged(entry("s1", DOMAINS[0], draining=True, sequence=2)))
+        world.feed(ev.LeafRemoved(leaf_name("s2", DOMAINS[0])))
+        world.feed(ev.DomainMarked(DOMAINS[1], True))
+        req_id = world.ask()
+        names = {call.leaf.name for call in world.calls_of(req_id)}
+        self.assertNotIn(leaf_name("s1", DOMAINS[0]), names)
+        self.assertNotIn(leaf_name("s2", DOMAINS[0]), names)
+        self.assertFalse(any(name.endswith(DOMAINS[1]) for name in names))
+
+    def test_only_leaves_of_the_regions_allowed_are_asked(self):
+        world = self.world
+        world.routes[0] = gather_route()._replace(regions=frozenset({"region-south"}))
+        world.feed(ev.TableSeen(world.table(2, [f"s{n}" for n in range(10)])))
+        req_id = world.ask()
+        world.run(2.0)
+        domains = {call.leaf.entry.domain for call in world.calls_of(req_id)}
+        self.assertEqual(domains, {"south"})
+
+    def test_a_query_keeps_the_shards_of_the_table_that_it_began_with(self):
+        world = self.world
+        req_id = world.ask()
+        world.routes[0] = gather_route(shards=3)
+        world.feed(ev.TableSeen(world.table(2, [f"s{n}" for n in range(3)])))
+        world.run(2.0)
+        merged = [e for e in world.effects if isinstance(e, fan.Merged)][-1]
+        self.assertEqual(merged.query.request.req_id, req_id)
+        self.assertEqual(len(merged.signatures), 10)
+
+
+class SingleTest(unittest.TestCase):
+    def setUp(self):
+        self.world = World()
+
+    def answer(self, target: bytes):
+        req_id = self.world.ask(target, patience_s=6.0)
+        self.world.run(8.0)
+        return self.world.done[req_id], self.world.calls_of(req_id)
+
+    def test_a_request_that_may_run_once_is_not_sent_again_after_a_break(self):
+        everywhere(self.world, "orders", ending(CallEnding.BROKEN))
+        answer, calls = self.answer(b"/u/1")
+        self.assertEqual((answer.kind, answer.ran, len(calls)), ("OUTCOME_UNKNOWN", True, 1))
+        self.assertEqual(answer.retry_after_s, 0.0)
+
+    def test_a_request_that_may_run_once_is_never_hedged(self):
+        everywhere(self.world, "orders", lambda now, rng: Doing(2.0))
+        answer, calls = self.answer(b"/u/1")
+        self.assertEqual((answer.kind, len(calls)), ("relayed 200", 1))
+
+    def test_a_request_that_was_refused_goes_to_another_leaf(self):
+        self.world.doing[leaf_name("orders", DOMAINS[0])] = ending(CallEnding.REFUSED)
+        answer, calls = self.answer(b"/u/1")
+        self.assertEqual((answer.kind, len(calls)), ("relayed 200", 2))
+
+    def test_refused_everywhere_it_has_not_run(self):
+        everywhere(self.world, "orders", ending(CallEnding.REFUSED))
+        answer, _ = self.answer(b"/u/1")
+        self.assertEqual((answer.kind, answer.ran), ("NOT_RUN", False))
+        self.assertGreater(answer.retry_after_s, 0.0)
+
+    def test_a_failure_is_passed_on_as_the_leaf_gave_it(self):
+        everywhere(self.world, "orders", ending(CallEnding.FAILED))
+        answer, calls = self.answer(b"/u/1")
+        self.assertEqual((answer.kind, len(calls)), ("relayed 500", 1))
+
+    def test_an_idempotent_request_is_hedged(self):
+        self.world.doing[leaf_name("orders", DOMAINS[0])] = lambda now, rng: Doing(3.0)
+        answer, calls = self.answer(b"/o/1")
+        self.assertEqual(answer.kind, "relayed 200")
+        self.assertLess(answer.took_s, 1.0)
+        self.assertEqual(len(calls), 2)
+
+    def test_an_unknown_route_is_told_so(self):
+        req_id = self.world.ask(b"/nowhere/1")
+        self.assertEqual(self.world.done[req_id].kind, "UNKNOWN_ROUTE")
+
+    def test_a_caller_without_time_is_refused(self):
+        req_id = self.world.ask(b"/o/1", patience_s=0.0)
+        self.assertEqual(self.world.done[req_id].kind, "NOT_RUN")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/core/fanout/test_timing.py
@@ -0,0 +1,41 @@
+from __future__ import annotations
+
+import unittest
+
+from cactussaddle_core.fanout.timing import RouteTimings
+from cactussaddle_core.fleet.leaf import Leaf
+from cactussaddle_core.fleet.probeplan import ProbePlan
+from tests.core.edge.world import entry
+from tests.core.edge.world import gather_route
+
+ROUTE = gather_route()
+
+
+def leaf(domain: str = "north") -> Leaf:
+    return Leaf(entry=entry("s0", domain), probes=ProbePlan(), now=0.0)
+
+
+class RouteTimingsTest(unittest.TestCase):
+    def setUp(self):
+        self.timings = RouteTimings(own_domain="north")
+
+    def test_the_round_trip_is_no_work(self):
+        far = leaf("south")
+        self.timings.connected(far, 0.04)
+        for _ in range(20):
+            self.timings.took(ROUTE, far, 0.08, 1.0)
+        self.assertAlmostEqual(self.timings.usual_s(ROUTE), 0.04, delta=0.004)
+
+    def test_a_call_is_overdue_after_what_is_usual_for_its_leaf(self):
+        quick, tardy = leaf(), leaf()
+        for step in range(200):
+            self.timings.took(ROUTE, quick, 0.03 + 0.0001 * (step % 50), 1.0)
+        for _ in range(40):
+            quick.saw_slowness(0.8, 1.0)
+            tardy.saw_slowness(1.4, 1.0)
+        early = self.timings.overdue_s(ROUTE, quick, 1.0)
+        late = self.timings.overdue_s(ROUTE, tardy, 1.0)
+        self.assertGreater(late, 1.4 * early)
+
+    def test_without_samples_a_part_of_the_objective_is_usual(self):
+        self.assertLess(self.timings.overdue_s(ROUTE, leaf(), 1.0), ROUTE.objective_s)
--- /dev/null
+++ b/tests/core/limits/test_limits.py
@@ -0,0 +1,78 @@
+from __future__ import annotations
+
+import random
+import unittest
+
+from cactussaddle_core.limits.budget import BudgetRules
+from cactussaddle_core.limits.budget import RetryBudget
+from cactussaddle_core.limits.cold import ColdMeter
+from cactussaddle_core.limits.cold import ColdRules
+from cactussaddle_core.limits.cold import calls_per_second
+from cactussaddle_core.limits.members import MemberCounts
+
+RULES = BudgetRules(ratio=0.2, allowance=56.0, window_s=10.0)
+
+
+class RetryBudgetTest(unittest.TestCase):
+    def test_all_nodes_together_stay_within_any_window(self):
+        rng = random.Random(7)
+        nodes = [RetryBudget(rules=RULES, nodes=8) for _ in range(8)]
+        requests: list[float] = []
+        extras: list[float] = []
+        now = 0.0
+        while now < 60.0:
+            now += rng.expovariate(60.0 if 20.0 < now < 30.0 else 15.0)
+            node = rng.choice(nodes)
+            node.request("s", now)
+            requests.append(now)
+            for _ in range(2):
+                if node.take("s", now):
+                    extras.append(now)
+        for start in range(0, 50):
+            seen = sum(1 for at in requests if start <= at < start + 10)
+            spent = sum(1 for at in extras if start <= at < start + 10)
+            self.assertLessEqual(spent, 0.2 * seen + 56.0)
+
+    def test_a_call_that_never_left_gives_its_share_back(self):
+        budget = RetryBudget(rules=RULES, nodes=8)
+        left = budget.left("s", 1.0)
+        self.assertTrue(budget.take("s", 1.0))
+        budget.give_back("s", 1.2)
+        self.assertEqual(budget.left("s", 1.3), left)
+
+    def test_hedges_leave_a_reserve(self):
+        budget = RetryBudget(rules=RULES._replace(allowance=2.0 / 0.8), nodes=1)
+        self.assertFalse(budget.take("s", 1.0, reserve=1.5))
+        self.assertTrue(budget.take("s", 1.0, reserve=1.0))
+        self.assertTrue(budget.take("s", 1.0))
+        self.assertFalse(budget.take("s", 1.0))
+
+    def test_services_have_budgets_of_their_own(self):
+        budget = RetryBudget(rules=RULES._replace(allowance=1.0 / 0.8), nodes=1)
+        self.assertTrue(budget.take("a", 1.0))
+        self.assertTrue(budget.take("b", 1.0))
+
+
+class ColdTest(unittest.TestCase):
+    def test_the_shares_of_all_nodes_stay_within_the_rate(self):
+        rules = ColdRules(over=1.5, slack=5.0)
+        for count in (1, 3, 9, 67, 600):
+            members = [f"n{number}" for number in range(count)]
+            for rate in (0.5, 4.0, 40.0):
+                total = sum(calls_per_second(rules, rate, "leaf", n, members) for n in members)
+                self.assertLessEqual(total, rate * 1.5 + 5.0)
+                self.assertGreater(total, 0)
+
+    def test_the_meter_counts_the_last_second(self):
+        meter = ColdMeter()
+        for at in (1.0, 1.5, 1.9):
+            meter.sent(at)
+        self.assertEqual((meter.count(1.95), meter.count(2.2), meter.count(4.0)), (3, 2, 0))
+
+
+class MemberCountsTest(unittest.TestCase):
+    def test_those_who_left_count_for_a_while(self):
+        counts = MemberCounts()
+        counts.saw(9, 0.0)
+        counts.saw(3, 10.0)
+        self.assertEqual((counts.most(11.0), counts.most(26.0)), (9, 3))
--- /dev/null
+++ b/tests/core/routing/test_routing.py
@@ -0,0 +1,54 @@
+from __future__ import annotations
+
+import unittest
+
+from cactussaddle_core.routing.model import Target
+from cactussaddle_core.routing.split import SplitBook
+from cactussaddle_core.routing.table import RoutingTable
+from cactussaddle_core.routing.table import TableBook
+from tests.core.edge.world import single_route
+
+
+def table(version: int, *prefixes: str) -> RoutingTable:
+    routes = [single_route()._replace(name=prefix, prefix=prefix) for prefix in prefixes]
+    return RoutingTable(version=version, routes=routes, services=[])
+
+
+class RoutingTableTest(unittest.TestCase):
+    def test_the_longest_prefix_wins(self):
+        routes = table(1, "/a/", "/a/b/", "/")
+        names = [routes.find("h", path) for path in ("/a/x", "/a/b/x", "/a/b", "/c", "/a/b/")]
+        self.assertEqual([r and r.name for r in names], ["/a/", "/a/b/", "/a/", "/", "/a/b/"])
+
+    def test_no_route_for_another_host_or_path(self):
+        routes = table(1, "/a/")
+        self.assertIsNone(routes.find("other", "/a/x"))
+        self.assertIsNone(routes.find("h", "/b/x"))
+        self.assertIsNone(routes.find("h", "/a"))
+
+    def test_the_book_never_goes_back(self):
+        book = TableBook()
+        self.assertTrue(book.offer(table(5)))
+        self.assertFalse(book.offer(table(4)))
+        self.assertFalse(book.offer(table(5)))
+        self.assertTrue(book.offer(table(9)))
+        self.assertEqual(book.table and book.table.version, 9)
+
+
+class SplitBookTest(unittest.TestCase):
+    def test_shares_follow_the_weights_over_few_requests(self):
+        route = single_route()._replace(targets=(Target("a", 3.0), Target("b", 1.0)))
+        book = SplitBook()
+        chosen = [book.choose(route) for _ in range(100)]
+        self.assertEqual((chosen.count("a"), chosen.count("b")), (75, 25))
+        self.assertEqual(chosen[:4].count("b"), 1)
+
+    def test_a_changed_split_is_followed_at_once(self):
+        book = SplitBook()
+        route = single_route()._replace(targets=(Target("a", 1.0), Target("b", 1.0)))
+        for _ in range(7):
+            book.choose(route)
+        changed = route._replace(targets=(Target("c", 1.0), Target("d", 9.0)))
+        chosen = [book.choose(changed) for _ in range(100)]
+        self.assertEqual(set(chosen), {"c", "d"})
+        self.assertAlmostEqual(chosen.count("c"), 10, delta=1)
--- /dev/null
+++ b/tests/core/spread/test_spread.py
@@ -0,0 +1,145 @@
+from __future__ import annotations
+
+import random
+import unittest
+
+from cactussaddle_core.spread.choice import SourceChoice
+from cactussaddle_core.spread.log import RecordLog
+from cactussaddle_core.spread.model import Member
+from cactussaddle_core.spread.model import Record
+from cactussaddle_core.spread.tree import place_of
+
+REGIONS = {"a1": "a", "a2": "a", "b1": "b", "b2": "b", "c1": "c"}
+
+
+def members(count: int, seed: int = 1) -> list[Member]:
+    rng = random.Random(seed)
+    domains = sorted(REGIONS)
+    return [Member(f"n{n}", f"10.0.0.{n}", 7740, rng.choice(domains)) for n in range(count)]
+
+
+class TreeTest(unittest.TestCase):
+    def places(self, nodes: list[Member]):
+        return {m.node: place_of(m.node, m.domain, nodes, REGIONS) for m in nodes}
+
+    def test_one_node_of_each_region_reads_the_store(self):
+        for count in (5, 20, 67, 600):
+            nodes = members(count)
+            readers = [name for name, place in self.places(nodes).items() if place.store_at == 0]
+            regions = {REGIONS[m.domain] for m in nodes if m.node in readers}
+            self.assertEqual(len(readers), len({REGIONS[m.domain] for m in nodes}))
+            self.assertEqual(len(regions), len(readers))
+
+    def test_following_the_first_choice_ends_at_the_store(self):
+        nodes = members(600)
+        places = self.places(nodes)
+        for node in nodes:
+            name, steps = node.node, 0
+            while places[name].store_at > 0:
+                name = places[name].follow[0].node
+                steps += 1
+                self.assertLess(steps, 6)
+
+    def test_no_node_is_followed_by_many(self):
+        nodes = members(600)
+        followed = [
+            place.follow[0].node for place in self.places(nodes).values() if place.store_at > 0
+        ]
+        most = max(followed.count(name) for name in set(followed))
+        self.assertLessEqual(most, 12 + len(REGIONS))
+
+    def test_domains_follow_across_once(self):
+        nodes = members(100)
+        domain_of = {m.node: m.domain for m in nodes}
+        across = [
+            name
+            for name, place in self.places(nodes).items()
+            if place.store_at > 0 and domain_of[name] != place.follow[0].domain
+        ]
+        self.assertLessEqual(len(across), len(REGIONS))
+
+    def test_a_node_that_is_not_registered_yet_reads_the_store(self):
+        self.assertEqual(place_of("new", "a1", members(5), REGIONS).store_at, 0)
+
+    def test_when_a_member_goes_few_others_change_their_place(self):
+        nodes = members(100)
+        before = self.places(nodes)
+        after = self.places(nodes[1:])
+        changed = sum(1 for name in after if after[name].follow[:1] != before[name].follow[:1])
+        self.assertLess(changed, 40)
+
+
+class RecordLogTest(unittest.TestCase):
+    def test_changes_since_a_revision(self):
+        log = RecordLog()
+        log.replace([Record("a", b"1", 3)], 5)
+        log.add([Record("b", b"1", 6), Record("a", None, 7)], 7)
+        batch = log.since(5, 0.0)
+        self.assertEqual([r.key for r in batch.records], ["b", "a"])
+        self.assertEqual((batch.revision, batch.whole), (7, False))
+        self.assertEqual(log.since(6, 0.0).records, (Record("a", None, 7),))
+
+    def test_everything_for_one_that_knows_less_than_the_log(self):
+        log = RecordLog()
+        log.replace([Record("a", b"1", 3)], 5)
+        log.add([Record("b", b"1", 6)], 6)
+        batch = log.since(-1, 0.0)
+        self.assertTrue(batch.whole)
+        self.assertEqual({r.key for r in batch.records}, {"a", "b"})
+
+    def test_what_is_known_already_is_no_news(self):
+        log = RecordLog()
+        log.replace([Record("a", b"2", 4)], 5)
+        self.assertEqual(log.add([Record("a", b"1", 3), Record("a", b"2", 4)], 5), [])
+        self.assertEqual(log.add([Record("gone", b"1", 2)], 5), [])
+
+    def test_a_random_run_of_followers_ends_alike(self):
+        rng = random.Random(3)
+        source, follower = RecordLog(), RecordLog()
+        source.replace([], 1)
+        follower.replace([], 1)
+        for revision in range(2, 3000):
+            key = f"k{rng.randrange(40)}"
+            value = None if rng.random() < 0.2 else str(revision).encode()
+            source.add([Record(key, value, revision)], revision)
+            if rng.random() < 0.02:
+                batch = source.since(follower.revision, 0.0)
+                if batch.whole:
+                    follower.replace(batch.records, batch.revision)
+                else:
+                    follower.add(batch.records, batch.revision)
+        batch = source.since(follower.revision, 0.0)
+        follower.add(batch.records, batch.revision)
+        self.assertEqual(
+            sorted(source.since(-1, 0.0).records), sorted(follower.since(-1, 0.0).records)
+        )
+
+
+class SourceChoiceTest(unittest.TestCase):
+    def setUp(self):
+        self.nodes = [Member(f"n{n}", "10.0.0.1", 7740, "a1") for n in range(4)]
+        self.places = {m.node: place_of(m.node, "a1", self.nodes, REGIONS) for m in self.nodes}
+        self.leaf = next(name for name, place in self.places.items() if place.store_at > 1)
+        self.choice = SourceChoice()
+        self.choice.set_place(self.places[self.leaf])
+
+    def test_the_parent_first_then_others_then_the_store(self):
+        seen = []
+        for _ in range(4):
+            source = self.choice.pick(10.0)
+            seen.append(source.node if source else None)
+            if source is None:
+                break
+            self.choice.failed(source, 10.0)
+        self.assertEqual(seen[-1], None)
+        self.assertEqual(seen[0], self.places[self.leaf].follow[0].node)
+
+    def test_a_source_that_failed_is_tried_again_later(self):
+        parent = self.choice.pick(10.0)
+        self.choice.failed(parent, 10.0)
+        self.assertNotEqual(self.choice.pick(10.5), parent)
+        self.assertEqual(self.choice.pick(11.1), parent)
+        self.choice.failed(parent, 11.1)
+        self.assertNotEqual(self.choice.pick(12.5), parent)
+        self.choice.answered(parent)
+        self.assertEqual(self.choice.pick(12.6), parent)
--- /dev/null
+++ b/tests/node/edge/test_caller.py
@@ -0,0 +1,180 @@
+from __future__ import annotations
+
+import socket
+import unittest
+
+import trio
+
+from cactussaddle_common.http.channel import Address
+from cactussaddle_common.http.message import Answer
+from cactussaddle_core.routing.model import CallerLimits
+from cactussaddle_node.edge.caller import CallerHooks
+from cactussaddle_node.edge.listener import Listener
+
+LIMITS = CallerLimits(
+    max_header_bytes=1000, max_body_bytes=100, header_timeout_s=0.2, idle_timeout_s=0.4
+)
+
+
+class Node:
+    """Takes requests in; each is answered when the test says so, or at once."""
+
+    def __init__(self, *, at_once: bool = True) -> None:
+        self.at_once = at_once
+        self.stopping = False
+        self.arrived: list[tuple[int, object, object]] = []
+        self.gone: list[int] = []
+        self._next = 0
+
+    def hooks(self, listener) -> CallerHooks:
+        return CallerHooks(
+            next_id=self.take_id,
+            arrived=self.take,
+            gone=self.gone.append,
+            ended=listener.connections.discard,
+            stopping=lambda: self.stopping,
+            limits=lambda: LIMITS,
+        )
+
+    def take_id(self) -> int:
+        self._next += 1
+        return self._next
+
+    def take(self, number, connection, request) -> None:
+        self.arrived.append((number, connection, request))
+        if self.at_once:
+            connection.answer(Answer(200, (), request.head.target))
+
+
+def free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+class CallerConnectionTest(unittest.TestCase):
+    def run_node(self, body, *, at_once: bool = True):
+        async def main():
+            node = Node(at_once=at_once)
+            port = free_port()
+            async with trio.open_nursery() as nursery:
+                address = Address("127.0.0.1", port)
+                listener = Listener(address=address, nursery=nursery, hooks=node.hooks)
+                nursery.start_soon(listener.accept)
+                with listener:
+                    async with await trio.open_tcp_stream("127.0.0.1", port) as stream:
+                        with trio.fail_after(5.0):
+                            await body(node, listener, stream)
+                for connection in list(listener.connections):
+                    connection.close()
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+    def test_requests_sent_ahead_are_answered_in_order(self):
+        async def body(node, listener, stream):
+            await stream.send_all(b"".join(b"GET /%d HTTP/1.1\r\n\r\n" % n for n in range(4)))
+            data = await read_until(stream, b"/3")
+            bodies = [data.index(b"\r\n\r\n/%d" % n) for n in range(4)]
+            self.assertEqual(bodies, sorted(bodies))
+
+        self.run_node(body)
+
+    def test_a_caller_that_closes_is_gone(self):
+        async def body(node, listener, stream):
+            await stream.send_all(b"GET /a HTTP/1.1\r\n\r\n")
+            await wait_for(lambda: node.arrived)
+            await stream.aclose()
+            await wait_for(lambda: node.gone)
+            self.assertEqual(node.gone, [node.arrived[0][0]])
+            node.arrived[0][1].answer(Answer(200, (), b"late"))
+
+        self.run_node(body, at_once=False)
+
+    def test_an_idle_connection_is_closed_after_its_time(self):
+        async def body(node, listener, stream):
+            started = trio.current_time()
+            self.assertEqual(await stream.receive_some(), b"")
+            self.assertGreater(trio.current_time() - started, 0.35)
+
+        self.run_node(body)
+
+    def test_headers_that_take_too_long_are_told_so(self):
+        async def body(node, listener, stream):
+            await stream.send_all(b"GET /a HTT")
+            self.assertIn(b" 408 ", await read_until(stream, b"\r\n\r\n"))
+
+        self.run_node(body)
+
+    def test_what_is_malformed_or_too_large_is_refused(self):
+        async def body(node, listener, stream):
+            await stream.send_all(b"POST /a HTTP/1.1\r\nContent-Length: 101\r\n\r\n" + b"a" * 101)
+            self.assertIn(b" 413 ", await read_until(stream, b"\r\n\r\n"))
+            self.assertEqual(node.arrived, [])
+
+        self.run_node(body)
+
+    def test_a_body_is_asked_for_when_the_caller_waits_to_be(self):
+        async def body(node, listener, stream):
+            await stream.send_all(
+                b"POST /a HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n"
+            )
+            self.assertIn(b"100 Continue", await read_until(stream, b"\r\n\r\n"))
+            await stream.send_all(b"ab")
+            self.assertIn(b" 200 ", await read_until(stream, b"/a"))
+
+        self.run_node(body)
+
+    def test_while_stopping_an_answer_ends_its_connection_whole(self):
+        async def body(node, listener, stream):
+            node.stopping = True
+            await stream.send_all(b"GET /a HTTP/1.1\r\n\r\n")
+            data = await read_until(stream, b"/a")
+            self.assertIn(b"Connection: close", data)
+            self.assertEqual(await stream.receive_some(), b"")
+
+        self.run_node(body)
+
+    def test_idle_connections_are_closed_on_request_and_busy_ones_are_not(self):
+        async def body(node, listener, stream):
+            await stream.send_all(b"GET /a HTTP/1.1\r\n\r\n")
+            await wait_for(lambda: node.arrived)
+            listener.close_idle()
+            self.assertEqual(len(listener.connections), 1)
+            node.arrived[0][1].answer(Answer(200, (), b"x"))
+            listener.close_idle()
+            self.assertEqual(len(listener.connections), 0)
+            await read_until(stream, b"x")
+
+        self.run_node(body, at_once=False)
+
+    def test_a_large_answer_reaches_a_slow_reader_whole(self):
+        async def body(node, listener, stream):
+            await stream.send_all(b"GET /a HTTP/1.1\r\nConnection: close\r\n\r\n")
+            await wait_for(lambda: node.arrived)
+            node.arrived[0][1].answer(Answer(200, (), b"z" * 6_000_000))
+            total = 0
+            while piece := await stream.receive_some(100_000):
+                total += len(piece)
+            self.assertGreater(total, 6_000_000)
+
+        self.run_node(body, at_once=False)
+
+
+async def read_until(stream, end: bytes) -> bytes:
+    data = b""
+    while end not in data:
+        piece = await stream.receive_some()
+        if not piece:
+            break
+        data += piece
+    return data
+
+
+async def wait_for(condition) -> None:
+    while not condition():
+        await trio.sleep(0.005)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/node/edge/test_follow.py
@@ -0,0 +1,207 @@
+from __future__ import annotations
+
+import unittest
+
+import trio
+import trio.testing
+
+from returns.result import Failure
+from returns.result import Success
+
+from cactussaddle_common.storeapi import StoreError
+from cactussaddle_common.storeapi import StoreErrorKind
+from cactussaddle_core.edge import events as ev
+from cactussaddle_core.spread.model import Batch
+from cactussaddle_core.spread.model import Member
+from cactussaddle_core.spread.model import Record
+from cactussaddle_core.spread.tree import Place
+from cactussaddle_node.edge.follow import Follower
+
+OUT = Failure(StoreError(StoreErrorKind.UNAVAILABLE, "out"))
+
+
+class FakeStore:
+    """Holds records; may be out, may leave a watch without an answer for ever."""
+
+    def __init__(self) -> None:
+        self.records = [Record("a", b"1", 1)]
+        self.revision = 1
+        self.out = False
+        self.hangs = False
+        self.forgot_before = 0
+        self.listings = 0
+        self.watches = 0
+
+    def write(self, key: str, value: bytes | None) -> None:
+        self.revision += 1
+        self.records.append(Record(key, value, self.revision))
+
+    async def listing(self):
+        self.listings += 1
+        await trio.sleep(0.01)
+        if self.out:
+            return OUT
+        newest = {record.key: record for record in self.records}
+        kept = tuple(record for record in newest.values() if record.value is not None)
+        return Success(Batch(kept, self.revision, True, 0.0))
+
+    async def changes(self, after: int, wait_s: float):
+        self.watches += 1
+        if self.hangs and wait_s > 0.0:
+            await trio.sleep_forever()
+        waited_s = 0.0
+        while True:
+            await trio.sleep(0.01)
+            waited_s += 0.01
+            if self.out:
+                return OUT
+            if after < self.forgot_before:
+                return Success(None)
+            news = tuple(record for record in self.records if record.revision > after)
+            if news or waited_s >= wait_s:
+                return Success(Batch(news, self.revision, False, 0.0))
+
+
+class FakePeers:
+    """Other nodes by name; each answers from the store's records, or not at all."""
+
+    def __init__(self, store: FakeStore) -> None:
+        self.store = store
+        self.silent: set[str] = set()
+        self.age_s = 0.0
+        self.asked: list[str] = []
+
+    async def changes(self, member: Member, after: int):
+        self.asked.append(member.node)
+        await trio.sleep(0.05)
+        if member.node in self.silent:
+            await trio.sleep(1.0)
+            return OUT
+        news = tuple(record for record in self.store.records if record.revision > after)
+        return Success(Batch(news, self.store.revision, after < 0, self.age_s))
+
+
+class Decoder:
+    def read_listing(self, records):
+        return [ev.RecordRejected("listing", ",".join(sorted(r.key for r in records)))]
+
+    def read_change(self, record):
+        return [ev.RecordRejected(record.key, repr(record.value))]
+
+
+class FollowerTest(unittest.TestCase):
+    def setUp(self):
+        self.store = FakeStore()
+        self.peers = FakePeers(self.store)
+        self.fed: list[object] = []
+
+    def follow(self, body, place: Place | None = None):
+        async def main():
+            follower = Follower(
+                store=self.store, peers=self.peers, decoder=Decoder(), feed=self.fed.append
+            )
+            if place is not None:
+                follower.choice.set_place(place)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(follower.run)
+                await trio.sleep(0.5)
+                await body(follower)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    def keys(self) -> list[str]:
+        return [event.key for event in self.fed if isinstance(event, ev.RecordRejected)]
+
+    def test_a_listing_then_changes(self):
+        async def body(follower):
+            self.store.write("b", b"1")
+            await trio.sleep(1.0)
+            self.assertEqual(self.keys(), ["listing", "b"])
+            self.assertLess(follower.age_s(trio.current_time()), 1.0)
+
+        self.follow(body)
+
+    def test_few_calls_while_nothing_changes(self):
+        async def body(follower):
+            await trio.sleep(60.0)
+            self.assertLessEqual(self.store.watches, 5)
+
+        self.follow(body)
+
+    def test_a_history_that_is_gone_is_read_anew(self):
+        async def body(follower):
+            self.store.out = True
+            await trio.sleep(3.0)
+            self.store.write("b", b"1")
+            self.store.forgot_before = self.store.revision
+            self.store.out = False
+            await trio.sleep(3.0)
+            self.assertEqual(self.store.listings, 2)
+            self.assertEqual(self.keys(), ["listing", "listing"])
+
+        self.follow(body)
+
+    def test_a_watch_that_is_lost_is_given_up_when_a_renewal_fails(self):
+        async def body(follower):
+            self.store.hangs = True
+            await trio.sleep(25.0)
+            self.store.write("b", b"1")
+            await trio.sleep(2.0)
+            self.assertEqual(self.keys(), ["listing"])
+            self.store.hangs = False
+            follower.interrupt("renewal: no answer")
+            await trio.sleep(1.0)
+            self.assertEqual(self.keys(), ["listing", "b"])
+            lost = [event for event in self.fed if isinstance(event, ev.StoreLost)]
+            self.assertEqual(lost[-1].reason, "renewal: no answer")
+
+        self.follow(body)
+
+    def test_an_outage_is_told_and_its_end(self):
+        async def body(follower):
+            self.store.out = True
+            await trio.sleep(25.0)
+            self.store.out = False
+            await trio.sleep(2.0)
+            kinds = [type(event) for event in self.fed]
+            self.assertIn(ev.StoreLost, kinds)
+            self.assertIs(kinds[-1], ev.StoreBack)
+
+        self.follow(body)
+
+    def place(self) -> Place:
+        nodes = tuple(Member(f"n{n}", "10.0.0.1", 1, "d") for n in range(2))
+        return Place(nodes, 2)
+
+    def test_a_follower_asks_its_parent_and_not_the_store(self):
+        async def body(follower):
+            self.store.write("b", b"1")
+            await trio.sleep(2.0)
+            self.assertEqual(self.keys(), ["listing", "b"])
+            self.assertEqual((self.store.listings, set(self.peers.asked)), (0, {"n0"}))
+
+        self.follow(body, self.place())
+
+    def test_a_silent_parent_is_replaced_within_two_seconds(self):
+        async def body(follower):
+            self.peers.silent = {"n0"}
+            await trio.sleep(0.2)
+            self.store.write("b", b"1")
+            await trio.sleep(2.0)
+            self.assertEqual(self.keys(), ["listing", "b"])
+
+        self.follow(body, self.place())
+
+    def test_what_is_stale_at_the_parents_is_asked_of_the_store(self):
+        async def body(follower):
+            self.peers.age_s = 9.0
+            await trio.sleep(2.0)
+            self.assertGreater(self.store.watches, 0)
+            self.assertLess(follower.age_s(trio.current_time()), 2.0)
+
+        self.follow(body, self.place())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/platform/test_kv.py
@@ -0,0 +1,144 @@
+from __future__ import annotations
+
+import base64
+import unittest
+
+from typing import Any
+
+import msgspec
+import trio
+
+from returns.result import Failure
+
+from cactussaddle_common.storeapi import StoreErrorKind
+from cactussaddle_platform.kv import Condition
+from cactussaddle_platform.kv import KvStore
+from cactussaddle_platform.kv import Put
+from cactussaddle_platform.registry import StoreFeed
+from tests.node.edge.servers import served
+
+
+def item(key: str, value: bytes, revision: int) -> dict:
+    text = base64.b64encode(value).decode()
+    return {"key": key, "value": text, "revision": revision, "created_at": 1, "lease": 0}
+
+
+class Script:
+    """Answers each call with the next of the given (status, body); None leaves it unanswered."""
+
+    def __init__(self, *answers) -> None:
+        self.answers = list(answers)
+        self.calls: list[tuple[str, Any]] = []
+
+    async def serve(self, stream) -> None:
+        async with stream:
+            data = b""
+            while True:
+                while b"\r\n\r\n" not in data:
+                    piece = await stream.receive_some()
+                    if not piece:
+                        return
+                    data += piece
+                head, _, data = data.partition(b"\r\n\r\n")
+                length = 0
+                for line in head.split(b"\r\n"):
+                    if line.lower().startswith(b"content-length:"):
+                        length = int(line.split(b":")[1])
+                while len(data) < length:
+                    data += await stream.receive_some()
+                body, data = data[:length], data[length:]
+                first = head.split(b"\r\n")[0].decode()
+                self.calls.append((first, msgspec.json.decode(body) if body else None))
+                answer = self.answers.pop(0)
+                if answer is None:
+                    await trio.sleep_forever()
+                status, message = answer
+                out = msgspec.json.encode(message)
+                await stream.send_all(
+                    b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%s" % (status, len(out), out)
+                )
+
+
+class KvStoreTest(unittest.TestCase):
+    def run_store(self, script: Script, use):
+        async def main():
+            async with served(script.serve) as address, trio.open_nursery() as nursery:
+                store = KvStore(address=address, nursery=nursery)
+                with trio.fail_after(5.0):
+                    result = await use(store)
+                store.close()
+                return result
+
+        return trio.run(main)
+
+    def test_a_listing_goes_over_all_pages_and_follows_from_the_first(self):
+        script = Script(
+            (200, {"items": [item("a", b"1", 3)], "has_more": True, "as_of": 10}),
+            (200, {"items": [item("b", b"2", 12)], "has_more": False, "as_of": 14}),
+        )
+        batch = self.run_store(script, lambda store: StoreFeed(store=store).listing()).unwrap()
+        self.assertEqual([(r.key, r.value) for r in batch.records], [("a", b"1"), ("b", b"2")])
+        self.assertEqual((batch.revision, batch.whole), (10, True))
+        self.assertIn("after=a", script.calls[1][0])
+
+    def test_changes(self):
+        events = [item("a", b"2", 11), {"key": "b", "revision": 12, "removed": True}]
+        script = Script((200, {"events": events, "as_of": 12}), (410, {}), (503, {}), (429, {}))
+
+        async def use(store):
+            return [await store.changes("", 10, 0.0) for _ in range(4)]
+
+        first, gone, down, busy = self.run_store(script, use)
+        self.assertEqual([r.value for r in first.unwrap().records], [b"2", None])
+        self.assertIsNone(gone.unwrap())
+        self.assertIs(down.failure().kind, StoreErrorKind.UNAVAILABLE)
+        self.assertIs(busy.failure().kind, StoreErrorKind.UNAVAILABLE)
+
+    def test_a_transaction_wins_or_tells_what_stands_there(self):
+        script = Script((200, {"revision": 9}), (412, {"items": [item("k", b"theirs", 8)]}))
+
+        async def use(store):
+            write = [Condition("k", 0)], [Put("k", b"mine", 5)], ["old"]
+            return [await store.write(*write) for _ in range(2)]
+
+        won, lost = (outcome.unwrap() for outcome in self.run_store(script, use))
+        self.assertTrue(won.done)
+        self.assertEqual((lost.done, lost.rows[0].value), (False, b"theirs"))
+        message = script.calls[0][1]
+        self.assertEqual(message["precondition"], [{"key": "k", "revision": 0}])
+        self.assertEqual(base64.b64decode(message["puts"][0]["value"]), b"mine")
+        self.assertEqual(message["deletes"], ["old"])
+
+    def test_a_call_without_an_answer_may_have_been_carried_out(self):
+        async def use(store):
+            return await store.keep_lease(5, 0.1)
+
+        outcome = self.run_store(Script(None), use)
+        self.assertIsInstance(outcome, Failure)
+        self.assertIs(outcome.failure().kind, StoreErrorKind.UNKNOWN)
+
+    def test_a_lease_that_has_ended_is_told(self):
+        script = Script((200, {"lease": 7, "ttl_ms": 3000}), (404, {}), (200, {"ttl_ms": 3000}))
+
+        async def use(store):
+            lease = (await store.open_lease(3.0)).unwrap()
+            ended = (await store.keep_lease(7, 1.0)).unwrap()
+            return lease, ended, (await store.keep_lease(7, 1.0)).unwrap()
+
+        lease, ended, kept = self.run_store(script, use)
+        self.assertEqual((lease.lease, lease.lasts_s), (7, 3.0))
+        self.assertEqual((ended, kept), (False, True))
+
+    def test_nonsense_is_a_failure(self):
+        nonsense = {"items": [{"key": "a", "value": "!", "revision": 1}], "as_of": 1}
+        script = Script((200, {"items": 3}), (200, nonsense))
+
+        async def use(store):
+            return [await store.page("") for _ in range(2)]
+
+        for outcome in self.run_store(script, use):
+            self.assertIsInstance(outcome, Failure)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/platform/test_records.py
@@ -0,0 +1,155 @@
+from __future__ import annotations
+
+import unittest
+
+from typing import Any
+
+import msgspec
+
+from cactussaddle_core.edge import events as ev
+from cactussaddle_core.spread.model import Member
+from cactussaddle_core.spread.model import Record
+from cactussaddle_platform.records import RecordError
+from cactussaddle_platform.records import decode_config
+from cactussaddle_platform.records import decode_leaf
+from cactussaddle_platform.registry import read_change
+from cactussaddle_platform.registry import read_listing
+
+LEAF = {
+    "service": "huvo11a",
+    "address": "10.128.0.9:8080",
+    "zone": "limerick",
+    "version": "v1",
+    "max_concurrency": 6,
+    "state": "ready",
+    "cold_left_ms": 1500,
+    "sequence": 4,
+    "born": 1700000000000,
+}
+LIMITS = {
+    "max_header_bytes": 16384,
+    "max_body_bytes": 262144,
+    "header_timeout_ms": 3000,
+    "idle_timeout_ms": 15000,
+}
+GATHER = {
+    "name": "r1",
+    "host": "Leno12.example",
+    "prefix": "/a/",
+    "type": "safe",
+    "timeout_ms": 1000,
+    "slo_ms": 165,
+    "priority": 2,
+    "gather": ["s1", "s2"],
+    "max_attempts": 2,
+    "top_k": 5,
+    "least": 0.75,
+    "allowed_regions": ["sierra"],
+}
+SPLIT = {
+    "name": "r2",
+    "host": "h",
+    "prefix": "/b/",
+    "type": "unsafe",
+    "timeout_ms": 6000,
+    "slo_ms": 1000,
+    "priority": 0,
+    "traffic_split": [{"service": "a", "weight": 3}, {"service": "b", "weight": 1}],
+    "max_attempts": 2,
+    "allowed_regions": [],
+}
+SERVICE = {"name": "s1", "health_path": "/healthz", "max_conns": 46, "cold_per_s": 2.5}
+
+
+def encode(value) -> bytes:
+    return msgspec.json.encode(value)
+
+
+def config(**changes):
+    made = {"version": 7, "routes": [GATHER, SPLIT], "services": [SERVICE], "limits": LIMITS}
+    return encode({**made, **changes})
+
+
+class ConfigTest(unittest.TestCase):
+    def test_routes_services_and_limits(self):
+        table = decode_config(config())
+        gather: Any = table.find("leno12.example", "/a/x")
+        self.assertEqual((gather.shards, gather.least, gather.top), (("s1", "s2"), 0.75, 5))
+        self.assertEqual((gather.objective_s, gather.regions), (0.165, frozenset({"sierra"})))
+        split: Any = table.find("h", "/b/")
+        self.assertFalse(split.idempotent)
+        self.assertEqual([(t.service, t.weight) for t in split.targets], [("a", 3.0), ("b", 1.0)])
+        self.assertEqual(table.services["s1"].max_connections, 46)
+        self.assertEqual(table.limits.idle_timeout_s, 15.0)
+
+    def test_a_plain_service_is_the_one_target(self):
+        plain = {**SPLIT, "service": "a"}
+        del plain["traffic_split"]
+        route = decode_config(config(routes=[plain])).routes["r2"]
+        self.assertEqual([target.service for target in route.targets], ["a"])
+
+    def test_only_what_is_known_to_be_idempotent_is(self):
+        route = decode_config(config(routes=[{**SPLIT, "type": "novel"}])).routes["r2"]
+        self.assertFalse(route.idempotent)
+
+    def test_what_cannot_be_read_says_why(self):
+        for data in (b"", b"[]", config(version="x"), config(routes=[{"name": "r"}])):
+            with self.subTest(data=data[:40]), self.assertRaises(RecordError):
+                decode_config(data)
+
+
+class LeafTest(unittest.TestCase):
+    def test_an_entry(self):
+        entry = decode_leaf("servers/i-7", encode(LEAF))
+        self.assertEqual((entry.leaf, entry.host, entry.port), ("i-7", "10.128.0.9", 8080))
+        self.assertEqual((entry.draining, entry.cold_left_s, entry.slots), (False, 1.5, 6))
+
+    def test_an_entry_of_another_writer_names_no_leaf(self):
+        for changes in (
+            {"address": "nowhere"},
+            {"address": 7},
+            {"state": "dancing"},
+            {"service": None},
+            {"zone": ["a"]},
+            {"cold_left_ms": "long"},
+        ):
+            with self.subTest(changes=changes), self.assertRaises(RecordError):
+                decode_leaf("servers/i-7", encode({**LEAF, **changes}))
+        with self.assertRaises(RecordError):
+            decode_leaf("servers/i-7", b"\xff\x00")
+
+
+class RegistryTest(unittest.TestCase):
+    def test_a_listing_holds_everything_at_once(self):
+        member = Member("n1", "10.1.0.1", 7740, "limerick")
+        records = (
+            Record("servers/i-7", encode(LEAF), 1),
+            Record("servers/bad", b"?", 2),
+            Record("op/config", config(), 3),
+            Record("op/evacuate/limerick", b"{}", 4),
+            Record("cactussaddle/nodes/n1", encode(member), 5),
+            Record("unknown", b"x", 6),
+        )
+        events: dict[Any, Any] = {type(event): event for event in read_listing(records)}
+        self.assertEqual([e.leaf for e in events[ev.LeavesListed].entries], ["i-7"])
+        self.assertEqual(events[ev.DomainsListed].domains, {"limerick"})
+        self.assertEqual(events[ev.MembersListed].members, (member,))
+        self.assertEqual(events[ev.TableSeen].table.version, 7)
+        self.assertEqual(events[ev.RecordRejected].key, "servers/bad")
+
+    def test_changes(self):
+        self.assertEqual(read_change(Record("servers/i-7", None, 8)), [ev.LeafRemoved("i-7")])
+        taken_back = read_change(Record("op/evacuate/limerick", None, 9))
+        self.assertEqual(taken_back, [ev.DomainMarked("limerick", False)])
+        self.assertEqual(read_change(Record("op/config", None, 9)), [])
+        self.assertEqual(
+            read_change(Record("cactussaddle/nodes/n1", None, 9)), [ev.MemberGone("n1")]
+        )
+
+    def test_an_entry_that_turns_unreadable_names_no_leaf_any_more(self):
+        events = read_change(Record("servers/i-7", b"{}", 9))
+        self.assertEqual(events[-1], ev.LeafRemoved("i-7"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/platform/test_wire.py
@@ -0,0 +1,138 @@
+from __future__ import annotations
+
+import unittest
+
+from typing import Any
+
+from cactussaddle_common.http.message import RequestHead
+from cactussaddle_common.http.message import Response
+from cactussaddle_core.codes import ResultCode
+from cactussaddle_core.fanout.model import CallEnding
+from cactussaddle_core.fanout.model import Declined
+from cactussaddle_core.fanout.model import LeafReply
+from cactussaddle_core.fanout.model import Merged
+from cactussaddle_core.fanout.model import Relayed
+from cactussaddle_core.fleet.leaf import Leaf
+from cactussaddle_core.fleet.probeplan import ProbePlan
+from cactussaddle_platform import callers
+from cactussaddle_platform import leaves
+from tests.core.edge.world import entry
+
+HEADERS = (
+    (b"Host", b"Leno12.example:80"),
+    (b"Request-Id", b"9c41"),
+    (b"Deadline-Ms", b"1000"),
+    (b"X-Own", b"kept"),
+    (b"Connection", b"close, X-Hop"),
+    (b"X-Hop", b"dropped"),
+    (b"Transfer-Encoding", b"chunked"),
+    (b"Target-Instance", b"forged"),
+)
+NO_QUERY: Any = None
+LEAF = Leaf(entry=entry("s0", "north"), probes=ProbePlan(), now=0.0)
+
+
+def decoded(headers=HEADERS, body: bytes = b"") -> Any:
+    return callers.decode_request(7, RequestHead(b"POST", b"/a/b?q=1", headers), body)
+
+
+def response(status: int = 200, body: bytes = b"x" * 16, **headers: bytes) -> Response:
+    named = tuple((name.replace("_", "-").encode(), value) for name, value in headers.items())
+    return Response(status, named, body)
+
+
+class RequestTest(unittest.TestCase):
+    def test_a_request_in_the_projects_words(self):
+        request = decoded(body=b"abc")
+        self.assertEqual((request.host, request.request_id), ("leno12.example", "9c41"))
+        self.assertEqual((request.patience_s, request.body), (1.0, b"abc"))
+
+    def test_a_request_without_one_host_or_with_an_odd_deadline_is_malformed(self):
+        self.assertIsInstance(decoded(HEADERS[1:]), str)
+        self.assertIsInstance(decoded((*HEADERS, (b"host", b"other"))), str)
+        self.assertIsInstance(decoded((HEADERS[0], (b"Deadline-Ms", b"soon"))), str)
+
+    def test_a_call_passes_on_what_is_not_of_the_connection(self):
+        data = leaves.encode_call(decoded(body=b"abc"), LEAF, 0.5)
+        head, _, body = data.partition(b"\r\n\r\n")
+        self.assertEqual(body, b"abc")
+        self.assertTrue(head.startswith(b"POST /a/b?q=1 HTTP/1.1\r\n"))
+        self.assertIn(b"\r\nRequest-Id: 9c41", head)
+        self.assertIn(b"\r\nX-Own: kept", head)
+        self.assertIn(b"\r\nContent-Length: 3", head)
+        self.assertEqual(head.count(b"Deadline-Ms"), 1)
+        self.assertIn(b"Deadline-Ms: 500", head)
+        self.assertEqual(head.count(b"Target-Instance"), 1)
+        self.assertIn(b"Target-Instance: s0-north", head)
+        for dropped in (b"X-Hop", b"Transfer-Encoding", b"close", b"forged"):
+            self.assertNotIn(dropped, head)
+
+
+class LeafAnswerTest(unittest.TestCase):
+    def end(self, answer: Response):
+        return leaves.decode_end(3, answer)
+
+    def test_endings(self):
+        signed = {"server_stamp": b"sig"}
+        for answer, ending in (
+            (response(200, **signed), CallEnding.ANSWERED),
+            (response(500, **signed), CallEnding.FAILED),
+            (response(504, **signed), CallEnding.FAILED),
+            (response(503, not_executed=b"1"), CallEnding.REFUSED),
+            (response(429, not_executed=b"1"), CallEnding.REFUSED),
+            (response(421), CallEnding.REFUSED),
+            (response(200), CallEnding.BROKEN),
+        ):
+            self.assertIs(self.end(answer).ending, ending)
+        self.assertTrue(self.end(response(421)).wrong_leaf)
+
+    def test_what_a_leaf_says_of_its_load(self):
+        self.assertEqual(self.end(response(server_load=b"3,1,8")).load, (3, 1, 8))
+        self.assertIsNone(self.end(response(server_load=b"much")).load)
+
+    def test_an_answer_to_another_request_is_told_by_its_id(self):
+        request = decoded()
+        self.assertTrue(leaves.is_answer_to(request, response(request_id=b"9c41")))
+        self.assertTrue(leaves.is_answer_to(request, response()))
+        self.assertFalse(leaves.is_answer_to(request, response(request_id=b"0000")))
+
+    def test_health(self):
+        health = leaves.decode_health(response(200, instance_id=b"i-7", cold_ms=b"1500"), 0.01)
+        self.assertEqual((health.leaf, health.healthy, health.cold_left_s), ("i-7", True, 1.5))
+        self.assertFalse(leaves.decode_health(response(503, instance_id=b"i-7"), 0.01).healthy)
+
+
+class AnswerTest(unittest.TestCase):
+    def test_a_merged_answer_names_its_parts(self):
+        answer = callers.encode_merged(Merged(NO_QUERY, ("a", "b"), 1, b"r" * 32))
+        self.assertEqual(dict(answer.headers)[b"Part-Stamps"], b"a, b")
+        self.assertEqual(dict(answer.headers)[b"Missing-Parts"], b"1")
+        self.assertEqual((answer.status, answer.body), (200, b"r" * 32))
+
+    def test_a_leafs_answer_is_passed_on_as_it_is(self):
+        headers = ((b"server-stamp", b"sig"), (b"keep-alive", b"timeout=5"))
+        answer = callers.encode_relayed(Relayed(NO_QUERY, LeafReply(500, headers, b"why", "sig")))
+        self.assertEqual((answer.status, answer.body), (500, b"why"))
+        self.assertEqual(answer.headers, ((b"server-stamp", b"sig"),))
+
+    def test_only_what_has_not_run_is_said_not_to_have_run(self):
+        for code, ran, status in (
+            (ResultCode.NOT_RUN, False, 503),
+            (ResultCode.NOT_CONFIGURED, False, 503),
+            (ResultCode.OVERLOADED, False, 503),
+            (ResultCode.INSUFFICIENT_COVERAGE, True, 502),
+            (ResultCode.OUTCOME_UNKNOWN, True, 502),
+            (ResultCode.DEADLINE_EXCEEDED, True, 504),
+            (ResultCode.UNKNOWN_ROUTE, False, 404),
+            (ResultCode.BAD_REQUEST, False, 400),
+        ):
+            declined = Declined(1, "r", code, "why", ran, 0.3 if not ran else 0.0)
+            self.assertEqual(callers.encode_declined(declined).status, status, code)
+
+    def test_a_time_to_come_back_goes_with_what_has_not_run(self):
+        declined = Declined(1, "r", ResultCode.NOT_RUN, "why", False, 0.25)
+        self.assertEqual(dict(callers.encode_declined(declined).headers)[b"Retry-After"], b"0.250")
+
+
+if __name__ == "__main__":
+    unittest.main()
