Callers wait for a node that starts, calls for a connection; metrics, state dump, reload, explain and logs

Change: the node listens for callers with the standard library alone before it loads the rest (settings as JSON by the deploy template); requests wait up to 0.6 s for routing table and leaves; a call at the limit of connections waits for one; leaves with few connections cost more. Also: counters and histograms by aioprometheus, loaded after the start; state dump; the settings file read again by signal or by itself; `cactussaddle explain` and `logs`; docs/OPERATIONS.md, held true by tests.

--- /dev/null
+++ b/packages/cactussaddle-cli/src/cactussaddle_cli/loglines/story.py
@@ -0,0 +1,68 @@
+"""What the log lines tell of one request: its own lines, and what its nodes believed meanwhile."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+import msgspec
+
+from cactussaddle_core.edge.logevents import CallTrace
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from cactussaddle_cli.loglines.reading import Line
+
+# What happened this long before a request's end may have to do with it.
+BEFORE_S = 6.0
+AFTER_S = 1.0
+REQUEST_EVENTS = frozenset({"request_ended", "request_refused", "caller_left"})
+LEAF_EVENTS = frozenset(
+    {"leaf_standing", "leaf_started", "leaf_draining", "leaf_unlisted", "leaves_dropped"}
+)
+
+
+class Story(NamedTuple):
+    """The lines of one request, in order, and those around it that concern it."""
+
+    request: str
+    own: tuple[Line, ...]
+    around: tuple[Line, ...]
+
+
+def find_story(lines: Iterable[Line], request: str) -> Story | None:
+    """Return what is known of a request; None when no line names it."""
+    listed = list(lines)
+    own = [line for line in listed if line.fields.get("request") == request]
+    if not own:
+        return None
+    nodes = {line.node for line in own}
+    leaves = {call.leaf for line in own for call in calls_of(line)}
+    first, last = own[0].time - BEFORE_S, own[-1].time + AFTER_S
+    around = [
+        line
+        for line in listed
+        if line.node in nodes and first <= line.time <= last and _concerns(line, leaves)
+    ]
+    return Story(request, tuple(own), tuple(around))
+
+
+def calls_of(line: Line) -> list[CallTrace]:
+    """Return the calls in a request's line."""
+    raw = line.fields.get("calls", [])
+    if not isinstance(raw, list):
+        return []
+    try:
+        return msgspec.convert(raw, list[CallTrace])
+    except msgspec.ValidationError:
+        return []
+
+
+def _concerns(line: Line, leaves: set[str]) -> bool:
+    if line.event in REQUEST_EVENTS:
+        return False
+    if line.event not in LEAF_EVENTS:
+        return True
+    named = line.fields.get("leaves", [line.fields.get("leaf")])
+    return isinstance(named, list) and bool(leaves.intersection(map(str, named)))
--- a/packages/cactussaddle-common/src/cactussaddle_common/http/channel.py
+++ b/packages/cactussaddle-common/src/cactussaddle_common/http/channel.py
@@ -34,6 +34,7 @@
     """Why an exchange ended without its response."""
 
     NOT_CONNECTED = "not connected"
+    NEVER_SENT = "never sent"
     RESET = "reset"
     CLOSED = "closed"
     NONSENSE = "no response"
@@ -135,8 +136,10 @@
             self._idle_before_s = trio.current_time() - self.idle_since
             self._send(exchange)
 
-    def cancel(self) -> None:
-        """End the exchange by closing the connection; one not open yet is kept for others."""
+    def cancel(self, exchange: Exchange) -> None:
+        """End an exchange by closing the connection; one not open yet is kept for others."""
+        if self.exchange is not exchange:
+            return
         if self.open or self._ended:
             self._end(Loss.CANCELLED, "")
         else:
--- a/packages/cactussaddle-common/src/cactussaddle_common/http/fetch.py
+++ b/packages/cactussaddle-common/src/cactussaddle_common/http/fetch.py
@@ -27,15 +27,15 @@
         done.set()
 
     exchange = Exchange(data=data, left=_ignore, accept=_accept, ended=ended)
-    channel = pool.start(exchange)
-    if channel is None:
+    ticket = pool.start(exchange)
+    if ticket is None:
         return NO_ROOM
     try:
         with trio.move_on_after(timeout_s):
             await done.wait()
     finally:
         if not ends:
-            channel.cancel()
+            pool.cancel(ticket)
     return ends[0]
 
 
--- a/packages/cactussaddle-common/src/cactussaddle_common/http/pool.py
+++ b/packages/cactussaddle-common/src/cactussaddle_common/http/pool.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from collections import deque
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
 import trio
 
 from cactussaddle_common.http.channel import Channel
+from cactussaddle_common.http.channel import ExchangeEnd
+from cactussaddle_common.http.channel import Loss
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -19,6 +22,9 @@
 FIRST_IDLE_LIMIT_S = 8.0
 LEAST_IDLE_LIMIT_S = 0.05
 IDLE_LIMIT_CUT = 0.5
+# Exchanges that wait for a connection at one server; more are better sent elsewhere.
+MAX_WAITING = 16
+UNSENT = ExchangeEnd(None, Loss.NEVER_SENT, "waited for a connection", False, 0.0)
 
 
 class PoolSettings(NamedTuple):
@@ -29,6 +35,17 @@
     opened: Callable[[float], None]
 
 
+class Ticket:
+    """An exchange in a pool: on its connection, or waiting for one."""
+
+    __slots__ = ("channel", "exchange", "fresh")
+
+    def __init__(self, *, exchange: Exchange, fresh: bool) -> None:
+        self.exchange = exchange
+        self.fresh = fresh
+        self.channel: Channel | None = None
+
+
 class Pool:
     """Connections to one address; the owner closes it."""
 
@@ -40,23 +57,44 @@
         self._nursery = nursery
         self._settings = settings
         self._idle: list[Channel] = []
+        self._queue: deque[Ticket] = deque()
         self._closed = False
 
-    def start(self, exchange: Exchange, *, fresh: bool = False) -> Channel | None:
-        """Begin an exchange; None when no further connection is allowed.
+    def start(self, exchange: Exchange, *, fresh: bool = False) -> Ticket | None:
+        """Begin an exchange, or have it wait for a connection; None when too many wait.
 
         A `fresh` one is for requests that may not run twice: it never meets a dropped connection.
         """
         if self._closed:
             return None
-        now = trio.current_time()
-        channel = None if fresh else self._take_idle(now)
-        if channel is None:
-            if len(self.channels) >= self.most and not self._close_one_idle():
+        ticket = Ticket(exchange=exchange, fresh=fresh)
+        if not self._begin(ticket):
+            if len(self._queue) >= MAX_WAITING:
                 return None
-            channel = self._open()
-        channel.start(exchange)
-        return channel
+            self._queue.append(ticket)
+        return ticket
+
+    def is_active(self, ticket: Ticket) -> bool:
+        """Return whether an exchange has not ended yet."""
+        if ticket.channel is None:
+            return ticket in self._queue
+        return ticket.channel.exchange is ticket.exchange
+
+    def cancel(self, ticket: Ticket) -> None:
+        """End an exchange by closing its connection, or its wait for one."""
+        if ticket.channel is not None:
+            ticket.channel.cancel(ticket.exchange)
+        elif ticket in self._queue:
+            self._queue.remove(ticket)
+            ticket.exchange.ended(UNSENT)
+
+    def linger(self, ticket: Ticket, until: float) -> None:
+        """Wait for the answer until then at most; one that has not been sent is cancelled."""
+        channel = ticket.channel
+        if channel is None or not channel.open:
+            self.cancel(ticket)
+        elif channel.exchange is ticket.exchange:
+            channel.linger_until = until
 
     def warm(self, count: int) -> None:
         """Open connections until there are `count`."""
@@ -85,14 +123,37 @@
     def close(self) -> None:
         """Close all connections but those with a call under way, which end with it."""
         self._closed = True
+        self._turn_away()
         self.flush()
 
     def abort(self) -> None:
         """Close all connections at once."""
         self._closed = True
+        self._turn_away()
         for channel in list(self.channels):
             channel.close()
 
+    def _turn_away(self) -> None:
+        while self._queue:
+            self._queue.popleft().exchange.ended(UNSENT)
+
+    def _begin(self, ticket: Ticket) -> bool:
+        now = trio.current_time()
+        channel = None if ticket.fresh else self._take_idle(now)
+        if channel is None:
+            if len(self.channels) >= self.most and not self._close_one_idle():
+                return False
+            channel = self._open()
+        ticket.channel = channel
+        channel.start(ticket.exchange)
+        return True
+
+    def _serve_queue(self) -> None:
+        while self._queue and not self._closed:
+            if not self._begin(self._queue[0]):
+                return
+            self._queue.popleft()
+
     def _open(self) -> Channel:
         channel = Channel(
             address=self.address,
@@ -129,8 +190,10 @@
             channel.close()
         else:
             self._idle.append(channel)
+            self._serve_queue()
 
     def _channel_closed(self, channel: Channel) -> None:
         self.channels.discard(channel)
         if channel in self._idle:
             self._idle.remove(channel)
+        self._serve_queue()
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/events.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/events.py
@@ -7,6 +7,7 @@
 from typing import TypeAlias
 
 if TYPE_CHECKING:
+    from cactussaddle_core.edge.state import EdgeRules
     from cactussaddle_core.fanout.model import CallEnd
     from cactussaddle_core.fanout.model import CallerRequest
     from cactussaddle_core.fleet.hints import Hint
@@ -138,6 +139,13 @@
     age_s: float
 
 
+class RulesChanged(NamedTuple):
+    """The settings were read again; `region_of` maps each failure domain to its region."""
+
+    rules: EdgeRules
+    region_of: dict[str, str]
+
+
 class StopAsked(NamedTuple):
     """The process is to end within `grace_s`."""
 
@@ -168,6 +176,7 @@
     | RecordRejected
     | StoreLost
     | StoreBack
+    | RulesChanged
     | StopAsked
     | Tick
 )
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/reduce.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/reduce.py
@@ -33,6 +33,7 @@
 
 # When a caller of a node that is not ready may try again; it is likely to reach another node.
 NOT_READY_RETRY_S = 0.2
+NOT_LOADED = "routing table and leaves are not loaded yet"
 
 
 def reduce(state: EdgeState, event: ev.Event, now: float) -> list[Effect]:
@@ -41,16 +42,33 @@
 
 
 def _request_arrived(state: EdgeState, event: ev.RequestArrived, now: float) -> list[Effect]:
-    request = event.request
+    if state.is_loaded():
+        return _begin(state, event.request, now, now)
+    if not state.store_lost_at_start and state.waiting.hold(event.request, now):
+        return []
+    return [_decline(event.request, ResultCode.NOT_CONFIGURED, NOT_LOADED)]
+
+
+def _begin(state: EdgeState, request: CallerRequest, arrived_at: float, now: float) -> list[Effect]:
     table = state.tables.table
-    if table is None or not state.fleet.loaded:
-        return [_decline(request, ResultCode.NOT_CONFIGURED, "not loaded yet")]
+    assert table is not None
     path = request.target.split(b"?", 1)[0].decode("latin-1")
     route = table.find(request.host, path)
     if route is None:
         return [_decline(request, ResultCode.UNKNOWN_ROUTE, "no such route")]
     services = route.shards or (state.splits.choose(route),)
-    return [*fanout.begin(state.fanout, request, route, services, table.version, now)]
+    waited_s = now - arrived_at
+    return [*fanout.begin(state.fanout, request, route, services, table.version, waited_s, now)]
+
+
+def _let_in(state: EdgeState, now: float) -> list[Effect]:
+    """Begin the requests that waited for the node to load, once it has."""
+    if not state.is_loaded():
+        return []
+    effects = _keep_connections(state, now)
+    for held in state.waiting.take_all():
+        effects += _begin(state, held.request, held.arrived_at, now)
+    return effects
 
 
 def _decline(request: CallerRequest, code: ResultCode, message: str) -> Declined:
@@ -61,6 +79,7 @@
 def _caller_gone(state: EdgeState, event: ev.CallerGone, now: float) -> list[Effect]:
     query = state.fanout.queries.get(event.req_id)
     if query is None:
+        state.waiting.leave(event.req_id)
         return []
     calls = sum(len(part.open_calls) for part in query.parts)
     after_ms = round((now - query.started_at) * 1000.0, 1)
@@ -96,7 +115,8 @@
     state.connections_changed = True
     before_version = before.version if before is not None else 0
     table = event.table
-    return [Note(log.TableInForce(table.version, before_version, len(table.routes)))]
+    note = Note(log.TableInForce(table.version, before_version, len(table.routes)))
+    return [note, *_let_in(state, now)]
 
 
 def _leaves_listed(state: EdgeState, event: ev.LeavesListed, now: float) -> list[Effect]:
@@ -104,7 +124,7 @@
         state.plan_first_probe(leaf, now)
     state.fleet.sweep(now)
     state.connections_changed = True
-    return [Note(log.LeavesListed(len(event.entries)))]
+    return [Note(log.LeavesListed(len(event.entries))), *_let_in(state, now)]
 
 
 def _leaf_changed(state: EdgeState, event: ev.LeafChanged, now: float) -> list[Effect]:
@@ -184,12 +204,21 @@
 def _store_lost(state: EdgeState, event: ev.StoreLost, now: float) -> list[Effect]:
     state.fleet.store_lost(now)
     if not state.store_up:
-        return []
+        return _turn_away(state)
     state.store_up = False
     state.store_changed_at = now
     return [Note(log.StoreLost(event.reason, event.source, round(event.age_s, 2)))]
 
 
+def _turn_away(state: EdgeState) -> list[Effect]:
+    """Refuse the requests that wait for the node to load: the store is out at its start."""
+    if state.is_loaded():
+        return []
+    state.store_lost_at_start = True
+    held = state.waiting.take_all()
+    return [_decline(one.request, ResultCode.NOT_CONFIGURED, NOT_LOADED) for one in held]
+
+
 def _store_back(state: EdgeState, event: ev.StoreBack, now: float) -> list[Effect]:
     state.fleet.store_back(now)
     state.registry_seen_at = now - event.age_s
@@ -200,6 +229,11 @@
     return [Note(log.StoreBack(event.source, away_s, event.revision))]
 
 
+def _rules_changed(state: EdgeState, event: ev.RulesChanged, now: float) -> list[Effect]:
+    state.set_rules(event.rules, event.region_of)
+    return []
+
+
 def _stop_asked(state: EdgeState, event: ev.StopAsked, now: float) -> list[Effect]:
     state.stopping.ask(event.grace_s, now)
     return [Note(log.StopAsked(event.grace_s, len(state.fanout.queries)))]
@@ -211,6 +245,10 @@
     if now < state.housekeeping_at:
         return effects
     state.housekeeping_at = now + HOUSEKEEPING_S
+    effects += [
+        _decline(held.request, ResultCode.NOT_CONFIGURED, NOT_LOADED)
+        for held in state.waiting.take_overdue(now)
+    ]
     state.budget.nodes = state.member_count(now)
     effects += _sweep(state, now)
     effects += _keep_connections(state, now)
@@ -260,12 +298,14 @@
         return []
     state.connections_changed = False
     used = table.services_in_use()
-    kept = tuple(
+    kept = [
         state.connections(leaf, now)
         for leaf in state.fleet.leaves.values()
         if leaf.entry.service in used
-    )
-    return [KeepConnections(kept)]
+    ]
+    for connections in kept:
+        connections.leaf.room = connections.most
+    return [KeepConnections(tuple(kept))]
 
 
 _HANDLERS: dict[type[Any], Callable[[EdgeState, Any, float], list[Effect]]] = {
@@ -288,6 +328,7 @@
     ev.RecordRejected: _record_rejected,
     ev.StoreLost: _store_lost,
     ev.StoreBack: _store_back,
+    ev.RulesChanged: _rules_changed,
     ev.StopAsked: _stop_asked,
     ev.Tick: _tick,
 }
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/state.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/state.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from cactussaddle_core.edge.effects import Connections
+from cactussaddle_core.edge.loading import WaitingRoom
 from cactussaddle_core.edge.stopping import Stopping
 from cactussaddle_core.fanout.state import FanoutBook
 from cactussaddle_core.fleet.book import Fleet
@@ -56,7 +57,9 @@
         self.fleet = Fleet()
         self.members: dict[str, Member] = {}
         self.member_counts = MemberCounts()
+        self.waiting = WaitingRoom()
         self.store_up = False
+        self.store_lost_at_start = False
         self.store_changed_at = 0.0
         self.registry_seen_at = 0.0
         self.stopping = Stopping()
@@ -78,10 +81,13 @@
             return False
         return not leaf.is_cold(now) or self._may_warm(leaf, now)
 
+    def is_loaded(self) -> bool:
+        """Return whether the routing table and the leaves are known."""
+        return self.tables.table is not None and self.fleet.loaded
+
     def is_ready(self) -> bool:
         """Return whether the balancer should send callers here."""
-        loaded = self.tables.table is not None and self.fleet.loaded
-        return loaded and not self.stopping.asked
+        return self.is_loaded() and not self.stopping.asked
 
     def next_due(self) -> float:
         """Return when the next tick is due."""
@@ -106,6 +112,13 @@
             at = now + FIRST_PROBE_SPREAD_S * self.fanout.rng.random()
             self.fleet.probes.ask(leaf.name, at)
 
+    def set_rules(self, rules: EdgeRules, region_of: dict[str, str]) -> None:
+        """Follow changed settings."""
+        self.rules = rules
+        self.budget.rules = rules.budget
+        self.me = self.me._replace(region_of=region_of)
+        self.fanout.region_of = region_of
+
     def set_members(self, members: dict[str, Member], now: float) -> None:
         """Take in which nodes are registered."""
         self.members = members
--- a/packages/cactussaddle-core/src/cactussaddle_core/fanout/choose.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/choose.py
@@ -90,7 +90,7 @@
 
 def _queue(leaf: Leaf, now: float) -> float:
     """Return how many rounds of work are ahead of a new call."""
-    slots = max(1, leaf.entry.slots)
+    slots = max(1, min(leaf.entry.slots, leaf.room))
     ahead = leaf.in_flight
     if leaf.load is not None and now - leaf.load_at < LOAD_REPORT_S:
         ahead = max(ahead, leaf.load.running + leaf.load.waiting)
--- a/packages/cactussaddle-core/src/cactussaddle_core/fanout/reduce.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/reduce.py
@@ -57,16 +57,18 @@
     route: Route,
     services: tuple[str, ...],
     table_version: int,
+    waited_s: float,
     now: float,
 ) -> list[FanoutEffect]:
-    """Start a query on one leaf of each of the services."""
-    deadline = now + min(request.patience_s, route.timeout_s) - DEADLINE_SPARE_S
-    answer_by = min(deadline, now + route.objective_s - ANSWER_SPARE_S)
+    """Start a query on one leaf of each of the services; it has waited here for `waited_s`."""
+    arrived_at = now - waited_s
+    deadline = arrived_at + min(request.patience_s, route.timeout_s) - DEADLINE_SPARE_S
+    answer_by = min(deadline, arrived_at + route.objective_s - ANSWER_SPARE_S)
     query = Query(
         request=request,
         route=route,
         table_version=table_version,
-        now=now,
+        now=arrived_at,
         answer_by=answer_by,
         deadline=deadline,
     )
--- a/packages/cactussaddle-core/src/cactussaddle_core/fleet/leaf.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fleet/leaf.py
@@ -37,7 +37,8 @@
 
     `slowness` is how many times longer it takes than is usual on its routes. `waiting` holds the
     calls without an answer, with the time from which each is overdue. `connect_s` is the least
-    time that a connection took, about one round trip.
+    time that a connection took, about one round trip. `room` is how many connections this node
+    may have to it.
     """
 
     def __init__(self, *, entry: LeafEntry, probes: ProbePlan, now: float) -> None:
@@ -48,6 +49,7 @@
         self.cold_until = now + entry.cold_left_s if entry.cold_left_s > 0.0 else 0.0
         self.cold_meter = ColdMeter()
         self.waiting: dict[int, float] = {}
+        self.room = 1
         self.connect_s: float | None = None
         self.load: Load | None = None
         self.load_at = -math.inf
--- /dev/null
+++ b/packages/cactussaddle-node/src/cactussaddle_node/early.py
@@ -0,0 +1,29 @@
+"""Listens for callers before the program is loaded.
+
+Loading takes a good part of a second on a small host. Callers that connect meanwhile wait in the
+kernel's queue and are served as soon as the node is, instead of being turned away.
+"""
+
+from __future__ import annotations
+
+import socket
+
+from cactussaddle_platform.early import callers_address
+
+BACKLOG = 512
+
+
+def listen(host: str, port: int) -> socket.socket:
+    """Return a socket that listens without blocking."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.setblocking(False)
+    sock.bind((host, port))
+    sock.listen(BACKLOG)
+    return sock
+
+
+def listen_early(settings_path: str) -> socket.socket | None:
+    """Listen for callers; None when the address can't be read this early."""
+    address = callers_address(settings_path)
+    return listen(*address) if address is not None else None
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/daemon.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/daemon.py
@@ -6,13 +6,13 @@
 import random
 import signal
 
+from collections import Counter
 from collections import deque
 from typing import TYPE_CHECKING
 from typing import Any
 
 import trio
 
-from cactussaddle_common.http.channel import Address
 from cactussaddle_core.codes import ResultCode
 from cactussaddle_core.edge import effects as fx
 from cactussaddle_core.edge import events as ev
@@ -27,18 +27,22 @@
 from cactussaddle_core.limits.budget import BudgetRules
 from cactussaddle_core.limits.cold import ColdRules
 from cactussaddle_core.routing.model import DEFAULT_CALLER_LIMITS
+from cactussaddle_node.early import listen
 from cactussaddle_node.edge.caller import CallerHooks
+from cactussaddle_node.edge.dump import dump
 from cactussaddle_node.edge.eventlog import EventLog
 from cactussaddle_node.edge.follow import Follower
 from cactussaddle_node.edge.hintwire import HintSocket
 from cactussaddle_node.edge.leafcaller import LeafCaller
 from cactussaddle_node.edge.listener import Listener
+from cactussaddle_node.edge.metrics import Metrics
 from cactussaddle_node.edge.pages import Pages
 from cactussaddle_node.edge.pages import PageSources
 from cactussaddle_node.edge.peerwire import PeerClient
 from cactussaddle_node.edge.peerwire import PeerServer
 from cactussaddle_node.edge.register import RegisterHooks
 from cactussaddle_node.edge.register import register
+from cactussaddle_node.edge.reload import Reloader
 from cactussaddle_platform import callers
 from cactussaddle_platform import leaves
 from cactussaddle_platform import registry
@@ -48,7 +52,10 @@
 from cactussaddle_platform.registry import StoreFeed
 
 if TYPE_CHECKING:
+    import socket
+
     from collections.abc import Callable
+    from pathlib import Path
 
     from cactussaddle_common.http.message import Answer
     from cactussaddle_common.http.requestreader import IncomingRequest
@@ -62,6 +69,7 @@
 # What is kept of the caller's time for the way back when a leaf is told its deadline.
 LEAF_DEADLINE_SPARE_S = 0.005
 SWEEP_EVERY_S = 0.1
+LOAD_METRICS_AFTER_S = 5.0
 
 
 class EdgeDaemon:
@@ -81,7 +89,7 @@
         self.place_changed: Callable[[Place], None] | None = None
         self.hint_socket = HintSocket(host=cfg.ip, peer_port=cfg.peer_port, feed=self.feed)
         self.stopped = trio.Event()
-        self.breaches = 0
+        self.metrics = Metrics()
         self._events: deque[ev.Event] = deque()
         self._reducing = False
         self._connections: dict[int, CallerConnection] = {}
@@ -136,20 +144,26 @@
 
     def breach(self, breach: Breach) -> None:
         """Log and count a broken promise."""
-        self.breaches += 1
+        self.metrics.count("cactussaddle_breaches_total", {"promise": breach.promise.value})
         self.log.write(log.Breach(breach.promise.value, breach.detail), trio.current_time())
 
     def note(self, effect: fx.Note) -> None:
         """Write a log line."""
         self.log.write(effect.event, trio.current_time())
 
-    def dump(self) -> dict[str, Any]:
-        """Return the state dump."""
-        return {"node": self.cfg.node, "breaches": self.breaches}
-
-    def metrics(self) -> tuple[bytes, str]:
-        """Return the metrics as text."""
-        return b"", "text/plain"
+    def gauges(self, registry_age_s: float, store_calls: int) -> dict[str, dict[str, float]]:
+        """Return the present values of the metrics that are no counters."""
+        standings = Counter(leaf.standing.value for leaf in self.state.fleet.leaves.values())
+        table = self.state.tables.table
+        return {
+            "cactussaddle_requests": {"": len(self.state.fanout.queries)},
+            "cactussaddle_leaves": {name: float(count) for name, count in standings.items()},
+            "cactussaddle_members": {"": len(self.state.members)},
+            "cactussaddle_table_version": {"": table.version if table is not None else 0},
+            "cactussaddle_store_calls": {"": store_calls},
+            "cactussaddle_log_lines_dropped": {"": self.log.lines_dropped},
+            "cactussaddle_registry_age_seconds": {"": registry_age_s},
+        }
 
     def _take_id(self) -> int:
         self._next_id += 1
@@ -201,11 +215,15 @@
         retry_ms = round(effect.retry_after_s * 1000.0, 1)
         event = log.RequestRefused(effect.request_id, effect.code.name, effect.message, retry_ms)
         self.log.write(event, trio.current_time())
+        self.metrics.answered("none", event.result, 0.0)
 
     def _note_end(self, answer: fan.Merged | fan.Relayed | fan.Declined, query: Query) -> None:
         now = trio.current_time()
         age_s = now - self.state.registry_seen_at
-        self.log.write(request_ended(answer, query, age_s, now), now)
+        event = request_ended(answer, query, age_s, now)
+        self.log.write(event, now)
+        self.metrics.answered(event.route, event.result, now - query.started_at)
+        self.metrics.extra_calls(event.hedges, event.retries)
 
     def _probe(self, effect: fan.ProbeLeaf) -> None:
         table = self.state.tables.table
@@ -248,8 +266,13 @@
     )
 
 
-async def serve(cfg: HostSettings) -> None:
-    """Run a node until it is asked to stop and its work in hand has finished."""
+async def serve(
+    cfg: HostSettings, path: Path, metrics_port: int, callers_sock: socket.socket | None
+) -> None:
+    """Run a node until it is asked to stop and its work in hand has finished.
+
+    `callers_sock` listens for callers already, if given.
+    """
     async with trio.open_nursery() as nursery:
         daemon = EdgeDaemon(cfg=cfg, nursery=nursery)
         set_handler(daemon.breach)
@@ -257,8 +280,6 @@
         daemon.note(
             fx.Note(log.Started(cfg.domain, cfg.ip, os.getpid(), limits.cores, limits.memory_mb))
         )
-        sources = PageSources(daemon.state.is_ready, daemon.dump, daemon.metrics)
-        pages = Pages(ready_path=READY_PATH, sources=sources)
         store = KvStore(address=cfg.store.address._replace(local_host=cfg.ip), nursery=nursery)
         follower = Follower(
             store=StoreFeed(store=store),
@@ -266,10 +287,34 @@
             decoder=registry,
             feed=daemon.feed,
         )
+        sources = PageSources(
+            ready=daemon.state.is_ready,
+            dump=lambda: dump(daemon.state, follower, trio.current_time()),
+            metrics=lambda: daemon.metrics.render(
+                daemon.gauges(follower.age_s(trio.current_time()), store.calls)
+            ),
+        )
+        pages = Pages(ready_path=READY_PATH, sources=sources)
+        reloader = Reloader(
+            path=path,
+            cfg=cfg,
+            rules_of=_rules,
+            feed=daemon.feed,
+            note=lambda event: daemon.note(fx.Note(event)),
+        )
         daemon.place_changed = follower.choice.set_place
         peer_server = PeerServer(follower=follower, nursery=nursery)
-        for address, hooks in _listeners(cfg, daemon, pages, peer_server):
-            listener = Listener(address=address, nursery=nursery, hooks=hooks)
+        callers_sock = callers_sock or listen(*cfg.callers[:2])
+        listeners = [
+            Listener(sock=callers_sock, nursery=nursery, hooks=daemon.hooks),
+            Listener(sock=listen(*cfg.readiness[:2]), nursery=nursery, hooks=pages.hooks),
+            Listener(sock=listen(cfg.ip, cfg.peer_port), nursery=nursery, hooks=peer_server.hooks),
+            Listener(sock=listen(cfg.ip, metrics_port), nursery=nursery, hooks=pages.hooks),
+        ]
+        if cfg.admin is not None:
+            admin_sock = listen(*cfg.admin[:2])
+            listeners.append(Listener(sock=admin_sock, nursery=nursery, hooks=pages.hooks))
+        for listener in listeners:
             nursery.start_soon(listener.accept)
         nursery.start_soon(daemon.run_timers)
         nursery.start_soon(daemon.hint_socket.listen)
@@ -284,30 +329,24 @@
                 reads_store=lambda: follower.choice.reads_store,
             ),
         )
-        nursery.start_soon(_watch_signals, daemon)
+        nursery.start_soon(reloader.run)
+        nursery.start_soon(_load_metrics, daemon)
+        nursery.start_soon(_watch_signals, daemon, reloader)
         await daemon.stopped.wait()
         daemon.note(fx.Note(log.Stopped(len(daemon.state.fanout.queries))))
         daemon.log.flush(trio.current_time())
         nursery.cancel_scope.cancel()
 
 
-def _listeners(
-    cfg: HostSettings, daemon: EdgeDaemon, pages: Pages, peer_server: PeerServer
-) -> list[tuple[Any, Any]]:
-    listeners: list[tuple[Any, Any]] = [
-        (cfg.callers, daemon.hooks),
-        (cfg.readiness, pages.hooks),
-        (Address(cfg.ip, cfg.peer_port), peer_server.hooks),
-    ]
-    if cfg.admin is not None:
-        listeners.append((cfg.admin, pages.hooks))
-    return listeners
+async def _load_metrics(daemon: EdgeDaemon) -> None:
+    await trio.sleep(LOAD_METRICS_AFTER_S)
+    daemon.metrics.load()
 
 
-async def _watch_signals(daemon: EdgeDaemon) -> None:
+async def _watch_signals(daemon: EdgeDaemon, reloader: Reloader) -> None:
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
         async for number in signals:
             if number == signal.SIGHUP:
-                daemon.note(fx.Note(log.Reloaded(())))
+                reloader.reload()
             else:
                 daemon.feed(ev.StopAsked(daemon.cfg.bounds.shutdown_grace_s))
--- /dev/null
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/dump.py
@@ -0,0 +1,69 @@
+"""The state dump of a node: what it knows, what it believes and why."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+if TYPE_CHECKING:
+    from cactussaddle_core.edge.state import EdgeState
+    from cactussaddle_core.fleet.leaf import Leaf
+    from cactussaddle_node.edge.follow import Follower
+
+
+def dump(state: EdgeState, follower: Follower, now: float) -> dict[str, Any]:
+    """Return the dump as plain values; times in seconds."""
+    table = state.tables.table
+    source = follower.choice.pick(now)
+    return {
+        "node": state.me.node,
+        "domain": state.me.domain,
+        "ready": state.is_ready(),
+        "stopping": state.stopping.asked,
+        "table_version": table.version if table is not None else None,
+        "registry": {
+            "revision": follower.log.revision,
+            "age_s": round(follower.age_s(now), 2),
+            "source": source.node if source is not None else "store",
+            "reads_store": follower.choice.reads_store,
+        },
+        "members": sorted(state.members),
+        "counted_members": state.member_count(now),
+        "domains_out": sorted(state.fleet.domains_out),
+        "leaves": [_leaf(state, leaf, now) for leaf in state.fleet.leaves.values()],
+        "budgets": {
+            service: round(state.budget.left(service, now), 1)
+            for service in sorted(table.services_in_use() if table is not None else ())
+        },
+        "requests": [_request(query, now) for query in state.fanout.queries.values()],
+    }
+
+
+def _leaf(state: EdgeState, leaf: Leaf, now: float) -> dict[str, Any]:
+    return {
+        "leaf": leaf.name,
+        "service": leaf.entry.service,
+        "domain": leaf.entry.domain,
+        "version": leaf.entry.version,
+        "may_get_calls": state.may_call(leaf, now),
+        "draining": leaf.entry.draining,
+        "listed": leaf.listed,
+        "cold_s": round(max(0.0, leaf.cold_until - now), 2),
+        "standing": leaf.standing.value,
+        "stalled": leaf.is_stalled(now),
+        "slowness": round(leaf.slowness(now), 2),
+        "faults": round(leaf.faults(now), 2),
+        "in_flight": leaf.in_flight,
+        "heard_s_ago": round(min(now - leaf.heard_at, 1e6), 2),
+        "round_trip_ms": round(1000.0 * state.fanout.timings.trip_s(leaf), 2),
+    }
+
+
+def _request(query: Any, now: float) -> dict[str, Any]:
+    return {
+        "request": query.request.request_id,
+        "route": query.route.name,
+        "age_s": round(now - query.started_at, 3),
+        "answered": query.answered(),
+        "parts": len(query.parts),
+    }
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/eventlog.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/eventlog.py
@@ -36,6 +36,7 @@
         self._tokens = BURST_LINES
         self._filled_at = 0.0
         self._dropped: dict[str, int] = {}
+        self.lines_dropped = 0
         os.set_blocking(descriptor, False)
 
     def write(self, event: Any, now: float) -> None:
@@ -44,6 +45,7 @@
         if self._admit(weight_of(event), now):
             self._queue(name, event)
         else:
+            self.lines_dropped += 1
             self._dropped[name] = self._dropped.get(name, 0) + 1
 
     def flush(self, now: float) -> None:
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/follow.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/follow.py
@@ -157,14 +157,15 @@
 
     def _take(self, member: Member | None, batch: Batch, now: float) -> bool:
         self._sure = member is None
-        self._apply(batch)
         if batch.age_s > STALE_S:
+            self._apply(batch)
             self.choice.failed(member, now)
             self._lost("stale", member)
             return False
         self.confirmed_at = max(self.confirmed_at, now - batch.age_s)
         self.choice.answered(member)
-        self._feed(ev.StoreBack(source_name(member), self.log.revision, batch.age_s))
+        self._feed(ev.StoreBack(source_name(member), batch.revision, batch.age_s))
+        self._apply(batch)
         return True
 
     def _lost(self, reason: str, member: Member | None) -> None:
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/leafcaller.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/leafcaller.py
@@ -23,8 +23,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from cactussaddle_common.http.channel import Channel
     from cactussaddle_common.http.channel import ExchangeEnd
+    from cactussaddle_common.http.pool import Ticket
     from cactussaddle_core.edge.effects import Connections
     from cactussaddle_core.fanout.state import Call
     from cactussaddle_core.fleet.leaf import Leaf
@@ -52,7 +52,7 @@
         self._feed = feed
         self._pools: dict[str, Pool] = {}
         self._leaving: list[Pool] = []
-        self._channels: dict[int, Channel] = {}
+        self._tickets: dict[int, tuple[Pool, Ticket]] = {}
 
     def keep(self, leaves: tuple[Connections, ...]) -> None:
         """Keep pools of exactly these leaves."""
@@ -77,21 +77,23 @@
             accept=functools.partial(self._wire.is_answer_to, query.request),
             ended=functools.partial(self._call_ended, call),
         )
-        channel = self._pool(call.leaf).start(exchange, fresh=not query.route.idempotent)
-        if channel is None:
-            self._feed(ev.CallEnded(CallEnd(call.call_id, CallEnding.NO_ROOM, "at the limit")))
-        elif channel.exchange is exchange:
-            self._channels[call.call_id] = channel
+        pool = self._pool(call.leaf)
+        ticket = pool.start(exchange, fresh=not query.route.idempotent)
+        if ticket is None:
+            self._feed(ev.CallEnded(CallEnd(call.call_id, CallEnding.NO_ROOM, "too many wait")))
+        elif pool.is_active(ticket):
+            self._tickets[call.call_id] = (pool, ticket)
 
     def end(self, call: Call, linger_s: float) -> None:
         """Wait `linger_s` more for a call's answer, then close its connection."""
-        channel = self._channels.get(call.call_id)
-        if channel is None:
+        found = self._tickets.get(call.call_id)
+        if found is None:
             return
-        if linger_s <= 0.0 or not channel.open:
-            channel.cancel()
+        pool, ticket = found
+        if linger_s <= 0.0:
+            pool.cancel(ticket)
         else:
-            channel.linger_until = trio.current_time() + linger_s
+            pool.linger(ticket, trio.current_time() + linger_s)
 
     def probe(self, leaf: Leaf, health_path: str) -> None:
         """Ask a leaf for its health over a new connection."""
@@ -119,7 +121,7 @@
         self._feed(ev.Connected(leaf.name, took_s))
 
     def _call_ended(self, call: Call, end: ExchangeEnd) -> None:
-        self._channels.pop(call.call_id, None)
+        self._tickets.pop(call.call_id, None)
         pool = self._pools.get(call.leaf.name)
         if end.response is not None:
             self._feed(ev.CallEnded(self._wire.decode_end(call.call_id, end.response)))
@@ -149,6 +151,8 @@
 def _ending(loss: Loss | None) -> CallEnding:
     if loss is Loss.NOT_CONNECTED:
         return CallEnding.NOT_SENT
+    if loss is Loss.NEVER_SENT:
+        return CallEnding.NO_ROOM
     if loss is Loss.CANCELLED:
         return CallEnding.CANCELLED
     return CallEnding.BROKEN
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/listener.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/listener.py
@@ -16,10 +16,8 @@
     from types import TracebackType
     from typing import Self
 
-    from cactussaddle_common.http.channel import Address
     from cactussaddle_node.edge.caller import CallerHooks
 
-BACKLOG = 512
 # Pause after descriptors have run out.
 FULL_WAIT_S = 0.05
 OUT_OF_DESCRIPTORS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
@@ -29,16 +27,16 @@
     """A listening socket and the connections accepted on it."""
 
     def __init__(
-        self, *, address: Address, nursery: trio.Nursery, hooks: Callable[[Listener], CallerHooks]
+        self,
+        *,
+        sock: socket.socket,
+        nursery: trio.Nursery,
+        hooks: Callable[[Listener], CallerHooks],
     ) -> None:
         self.connections: set[CallerConnection] = set()
         self._nursery = nursery
         self._hooks = hooks(self)
-        self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._sock.setblocking(False)
-        self._sock.bind((address.host, address.port))
-        self._sock.listen(BACKLOG)
+        self._sock = sock
 
     def __enter__(self) -> Self:
         return self
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/main.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/main.py
@@ -6,22 +6,39 @@
 import sys
 
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import trio
 
 from cactussaddle_node.edge.daemon import serve
-from cactussaddle_platform.settings import SETTINGS_ENV
 from cactussaddle_platform.settings import SettingsError
 from cactussaddle_platform.settings import read_settings
 
+if TYPE_CHECKING:
+    import socket
+
 EXIT_BAD_SETTINGS = 2
+METRICS_PORT_ENV = "CACTUSSADDLE_METRICS_PORT"
+DEFAULT_METRICS_PORT = 9464
+
 
+def run_on_platform(settings_path: str, callers: socket.socket | None) -> None:
+    """Run the node until it is asked to stop; bad settings end it with a message.
 
-def run_on_platform() -> None:
-    """Run the node until it is asked to stop; bad settings end it with a message."""
+    `callers` is a socket that listens for callers already, if there is one.
+    """
+    path = Path(settings_path)
     try:
-        cfg = read_settings(Path(os.environ[SETTINGS_ENV]))
+        cfg = read_settings(path)
+        metrics_port = _metrics_port()
     except SettingsError as exc:
         print(f"cactussaddle-node: settings: {exc}", file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
-    trio.run(serve, cfg)
+    trio.run(serve, cfg, path, metrics_port, callers)
+
+
+def _metrics_port() -> int:
+    text = os.environ.get(METRICS_PORT_ENV, str(DEFAULT_METRICS_PORT))
+    if not text.isdigit() or not 0 < int(text) < 65536:
+        raise SettingsError(f"{METRICS_PORT_ENV}: {text!r} is not a port from 1 to 65535")
+    return int(text)
--- /dev/null
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/metrics.py
@@ -0,0 +1,125 @@
+"""Counters and latency histograms, rendered by aioprometheus at the metrics address.
+
+The library is loaded some seconds after the start, when callers no longer wait for the node to be
+back; until then what is counted is kept in order.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+LATENCY_BUCKETS_S = [0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0]
+MAX_KEPT = 20_000
+# Routes beyond this many share one label, so that a large configuration stays cheap to scrape.
+MAX_ROUTES = 64
+OTHER_ROUTES = "other"
+
+COUNTERS: Mapping[str, str] = {
+    "cactussaddle_answers_total": "Answers by route and result.",
+    "cactussaddle_extra_calls_total": "Calls beyond the first of a part, by reason.",
+    "cactussaddle_breaches_total": "Broken promises by name.",
+}
+GAUGES: Mapping[str, str] = {
+    "cactussaddle_requests": "Requests under way.",
+    "cactussaddle_leaves": "Leaves known, by standing.",
+    "cactussaddle_members": "Nodes registered.",
+    "cactussaddle_table_version": "Version of the routing table in force.",
+    "cactussaddle_store_calls": "Calls to the store since the start.",
+    "cactussaddle_log_lines_dropped": "Log lines left out since the start.",
+    "cactussaddle_registry_age_seconds": "Time since the store confirmed what is known here.",
+}
+LATENCY = "cactussaddle_answer_seconds"
+
+
+class Metrics:
+    """What a node counts."""
+
+    def __init__(self) -> None:
+        self._kept: list[tuple[str, dict[str, str], float]] = []
+        self._library: _Library | None = None
+        self._routes: set[str] = set()
+
+    def answered(self, route: str, result: str, seconds: float) -> None:
+        """Count an answer and its time."""
+        name = self._route(route)
+        self.count("cactussaddle_answers_total", {"route": name, "result": result})
+        self._record(LATENCY, {"route": name}, seconds)
+
+    def extra_calls(self, hedges: int, retries: int) -> None:
+        """Count a request's calls beyond the first of each part."""
+        for reason, amount in (("hedge", hedges), ("retry", retries)):
+            if amount:
+                self.count("cactussaddle_extra_calls_total", {"reason": reason}, amount)
+
+    def count(self, name: str, labels: dict[str, str], amount: float = 1.0) -> None:
+        """Add to one of `COUNTERS`."""
+        self._record(name, labels, amount)
+
+    def load(self) -> None:
+        """Load the library and take in what was kept."""
+        if self._library is None:
+            self._library = _Library()
+            kept, self._kept = self._kept, []
+            for name, labels, amount in kept:
+                self._library.record(name, labels, amount)
+
+    def render(self, gauges: Mapping[str, Mapping[str, float]]) -> tuple[bytes, str]:
+        """Return the text of all metrics and its content type.
+
+        `gauges` holds the present values of `GAUGES`, each by the value of its one label, which is
+        empty where it has none.
+        """
+        self.load()
+        assert self._library is not None
+        return self._library.render(gauges)
+
+    def _record(self, name: str, labels: dict[str, str], amount: float) -> None:
+        if self._library is not None:
+            self._library.record(name, labels, amount)
+        elif len(self._kept) < MAX_KEPT:
+            self._kept.append((name, labels, amount))
+
+    def _route(self, route: str) -> str:
+        if route not in self._routes:
+            if len(self._routes) >= MAX_ROUTES:
+                return OTHER_ROUTES
+            self._routes.add(route)
+        return route
+
+
+class _Library:
+    """The collectors of aioprometheus."""
+
+    def __init__(self) -> None:
+        from aioprometheus.collectors import Counter
+        from aioprometheus.collectors import Gauge
+        from aioprometheus.collectors import Histogram
+        from aioprometheus.collectors import Registry
+        from aioprometheus.renderer import render
+
+        self._render = render
+        self._registry = Registry()
+        self._counters: dict[str, Any] = {n: Counter(n, doc) for n, doc in COUNTERS.items()}
+        self._gauges: dict[str, Any] = {n: Gauge(n, doc) for n, doc in GAUGES.items()}
+        self._latency: Any = Histogram(LATENCY, "Time to answer.", buckets=LATENCY_BUCKETS_S)
+        for collector in (*self._counters.values(), *self._gauges.values(), self._latency):
+            self._registry.register(collector)
+
+    def record(self, name: str, labels: dict[str, str], amount: float) -> None:
+        """Add to a counter, or observe a latency."""
+        if name == LATENCY:
+            self._latency.observe(labels, amount)
+        else:
+            self._counters[name].add(labels, amount)
+
+    def render(self, gauges: Mapping[str, Mapping[str, float]]) -> tuple[bytes, str]:
+        """Return the text and its content type."""
+        for name, values in gauges.items():
+            for label, value in values.items():
+                self._gauges[name].set({"kind": label} if label else {}, value)
+        content, headers = self._render(self._registry, [])
+        return content, headers["Content-Type"]
--- /dev/null
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/reload.py
@@ -0,0 +1,73 @@
+"""Reads the settings file again when it changes, with or without a signal."""
+
+from __future__ import annotations
+
+import os
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from cactussaddle_core.edge import events as ev
+from cactussaddle_core.edge import logevents as log
+from cactussaddle_platform.settings import SettingsError
+from cactussaddle_platform.settings import read_settings
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from pathlib import Path
+    from typing import Any
+
+    from cactussaddle_core.edge.state import EdgeRules
+    from cactussaddle_platform.settings import HostSettings
+
+LOOK_EVERY_S = 2.0
+# Settings that a process keeps from its start to its end.
+FIXED = ("node", "ip", "domain", "callers", "readiness", "admin", "peer_port", "store", "limits")
+
+
+class Reloader:
+    """Watches one settings file; what can change while the node runs is fed as an event."""
+
+    def __init__(
+        self,
+        *,
+        path: Path,
+        cfg: HostSettings,
+        rules_of: Callable[[HostSettings], EdgeRules],
+        feed: Callable[[ev.Event], None],
+        note: Callable[[Any], None],
+    ) -> None:
+        self._path = path
+        self._cfg = cfg
+        self._rules_of = rules_of
+        self._feed = feed
+        self._note = note
+        self._seen = self._stamp()
+
+    async def run(self) -> None:
+        """Look at the file now and then, until cancelled."""
+        while True:
+            await trio.sleep(LOOK_EVERY_S)
+            if self._stamp() != self._seen:
+                self.reload()
+
+    def reload(self) -> None:
+        """Read the file and put in force what can be."""
+        self._seen = self._stamp()
+        try:
+            cfg = read_settings(self._path)
+        except SettingsError as exc:
+            self._note(log.ReloadFailed(str(exc)))
+            return
+        fixed = tuple(name for name in FIXED if getattr(cfg, name) != getattr(self._cfg, name))
+        self._note(log.Reloaded(fixed))
+        self._cfg = cfg
+        self._feed(ev.RulesChanged(self._rules_of(cfg), cfg.region_of))
+
+    def _stamp(self) -> tuple[int, int]:
+        try:
+            found = os.stat(self._path)
+        except OSError:
+            return (0, 0)
+        return (found.st_mtime_ns, found.st_size)
--- a/packages/cactussaddle-node/src/cactussaddle_node/main.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/main.py
@@ -11,10 +11,14 @@
     Where the users' platform has left its settings file, the node runs there; else it runs by its
     own flags and environment variables. Each way loads only the libraries that it needs.
     """
-    if os.environ.get("CACTUSSADDLE_CONFIG"):
+    settings_path = os.environ.get("CACTUSSADDLE_CONFIG")
+    if settings_path:
+        from cactussaddle_node.early import listen_early
+
+        callers = listen_early(settings_path)
         from cactussaddle_node.edge.main import run_on_platform
 
-        run_on_platform()
+        run_on_platform(settings_path, callers)
         return
     from cactussaddle_node.standalone import run_standalone
 
--- a/tests/core/edge/test_edge.py
+++ b/tests/core/edge/test_edge.py
@@ -7,6 +7,7 @@
 from cactussaddle_core.edge import events as ev
 from cactussaddle_core.edge import logevents as log
 from cactussaddle_core.edge.stopping import Stopping
+from cactussaddle_core.fanout import model as fan
 from cactussaddle_core.fanout.model import CallEnding
 from cactussaddle_core.spread.model import Member
 from tests.core.edge.world import DOMAINS
@@ -61,6 +62,34 @@
         many = world.state.connections(world.leaf("s0", DOMAINS[0]), world.now).most
         self.assertEqual((few, many), (46 // 2, 46 // 23))
 
+    def test_requests_wait_for_a_node_that_has_just_started(self):
+        world = World(loaded=False)
+        first = world.ask()
+        world.run(0.1)
+        self.assertNotIn(first, world.done)
+        world.load_all()
+        world.run(0.5)
+        answer = world.done[first]
+        self.assertEqual(answer.kind, "merged")
+        self.assertGreater(answer.took_s, 0.1)
+        kinds = [type(effect) for effect in world.effects]
+        self.assertLess(kinds.index(fx.KeepConnections), kinds.index(fan.SendCall))
+
+    def test_they_wait_no_longer_than_a_moment(self):
+        world = World(loaded=False)
+        first = world.ask()
+        world.run(1.0)
+        answer = world.done[first]
+        self.assertEqual((answer.kind, answer.ran), ("NOT_CONFIGURED", False))
+        self.assertLess(answer.took_s, 0.75)
+
+    def test_they_do_not_wait_while_the_store_is_known_to_be_out(self):
+        world = World(loaded=False)
+        first = world.ask()
+        world.feed(ev.StoreLost("out", "store", 0.0))
+        second = world.ask()
+        self.assertEqual({world.done[first].kind, world.done[second].kind}, {"NOT_CONFIGURED"})
+
     def test_random_runs_keep_every_promise(self):
         for seed in range(12):
             with self.subTest(seed=seed):
--- a/tests/node/edge/test_follow.py
+++ b/tests/node/edge/test_follow.py
@@ -20,6 +20,9 @@
 OUT = Failure(StoreError(StoreErrorKind.UNAVAILABLE, "out"))
 
 
+REMOVALS = [ev.RecordRejected("a", "None")]
+
+
 class FakeStore:
     """Holds records; may be out, may leave a watch without an answer for ever."""
 
@@ -170,6 +173,22 @@
 
         self.follow(body)
 
+    def test_the_end_of_an_outage_is_told_before_what_changed_in_it(self):
+        async def body(follower):
+            self.store.out = True
+            await trio.sleep(25.0)
+            self.store.write("a", None)
+            self.store.out = False
+            await trio.sleep(2.0)
+            kinds = [type(event).__name__ for event in self.fed]
+            self.assertLess(
+                len(kinds) - 1 - kinds[::-1].index("StoreLost"), kinds.index("StoreBack", 2)
+            )
+            removal = max(n for n, event in enumerate(self.fed) if event in REMOVALS)
+            self.assertIn("StoreBack", kinds[kinds.index("StoreLost") : removal])
+
+        self.follow(body)
+
     def place(self) -> Place:
         nodes = tuple(Member(f"n{n}", "10.0.0.1", 1, "d") for n in range(2))
         return Place(nodes, 2)
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -14,10 +14,12 @@
 from cactussaddle_common.settings import allowed_text
 from cactussaddle_core.codes import CODE_INFO
 from cactussaddle_core.config.check import check_doc
+from cactussaddle_core.edge import logevents
 from cactussaddle_core.invariants import Promise
 from cactussaddle_core.sheet.plan import plan_sheet
 from cactussaddle_core.sheet.rows import read_sheet
 from cactussaddle_core.sheet.table import COLUMNS
+from cactussaddle_node.edge import metrics
 from cactussaddle_node.settings import SETTINGS as NODE_SETTINGS
 from tests.harness.topology import build
 
@@ -66,6 +68,27 @@
         self.assertEqual(rows, expected)
 
 
+class OperationsPageTest(unittest.TestCase):
+    def test_each_log_event_with_its_fields(self):
+        text = page("OPERATIONS.md").partition("<!-- events -->")[2]
+        text = text.partition("<!-- /events -->")[0]
+        found = table_rows(text)[1:]
+        expected = [
+            [
+                f"`{logevents.event_name(kind)}`",
+                ", ".join(f"`{field}`" for field in kind._fields),
+                " ".join(str(kind.__doc__).split("\n\n")[0].split()),
+            ]
+            for kind in logevents.EVENTS
+        ]
+        self.assertEqual(found, expected)
+
+    def test_each_metric(self):
+        names = {row[0].strip("`") for row in table_rows(page("OPERATIONS.md"))}
+        for name in (*metrics.COUNTERS, *metrics.GAUGES, metrics.LATENCY):
+            self.assertIn(name, names)
+
+
 class SheetPageTest(unittest.TestCase):
     def test_each_column_is_described(self):
         names = {row[0].strip("`") for row in table_rows(page("SHEET.md"))}
