A connection that breaks as a waiting call is put on it ended the process

In the pool, a send that fails at once while the queue of waiting calls is served closed the channel, which served the queue again from inside: the same call was started twice and another one lost, and the outer loop took from an empty queue. The only path found that raises there; ruled out: log writing, listeners. Change: a call leaves the queue before it is started. A fault met by an event is logged, counted and costs that event, not the node. Test: PoolTest.test_a_write_that_fails_at_once_ends_just_its_own_exchange, seen failing first (IndexError).

--- a/packages/cactussaddle-common/src/cactussaddle_common/http/pool.py
+++ b/packages/cactussaddle-common/src/cactussaddle_common/http/pool.py
@@ -150,9 +150,10 @@
 
     def _serve_queue(self) -> None:
         while self._queue and not self._closed:
-            if not self._begin(self._queue[0]):
+            ticket = self._queue.popleft()
+            if not self._begin(ticket):
+                self._queue.appendleft(ticket)
                 return
-            self._queue.popleft()
 
     def _open(self) -> Channel:
         channel = Channel(
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/logevents.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/logevents.py
@@ -218,13 +218,23 @@
     detail: str
 
 
+class UnexpectedError(NamedTuple):
+    """A fault of the program met an event; the event is dropped and the node goes on."""
+
+    event: str
+    error: str
+    where: str
+
+
 class LinesDropped(NamedTuple):
     """Lines that were left out since the last such line, by event."""
 
     by_event: dict[str, int]
 
 
-FAILURES: frozenset[type[Any]] = frozenset({RequestRefused, Breach, LinesDropped, ReloadFailed})
+FAILURES: frozenset[type[Any]] = frozenset(
+    {RequestRefused, Breach, UnexpectedError, LinesDropped, ReloadFailed}
+)
 ROUTINE: frozenset[type[Any]] = frozenset({LeafStarted, LeafStanding, CallerLeft})
 EVENTS: tuple[type[Any], ...] = (
     Started,
@@ -250,6 +260,7 @@
     RequestRefused,
     CallerLeft,
     Breach,
+    UnexpectedError,
     LinesDropped,
 )
 
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/daemon.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/daemon.py
@@ -5,6 +5,7 @@
 import os
 import random
 import signal
+import traceback
 
 from collections import Counter
 from collections import deque
@@ -106,14 +107,23 @@
         self._reducing = True
         try:
             while self._events:
-                now = trio.current_time()
-                for effect in reduce(self.state, self._events.popleft(), now):
-                    _EFFECT_HANDLERS[type(effect)](self, effect)
+                self._take(self._events.popleft())
         finally:
             self._reducing = False
         if self.state.next_due() < self._sleeping_until:
             self._wake.set()
 
+    def _take(self, event: ev.Event) -> None:
+        """Reduce one event; a fault of the program costs that event, not the node."""
+        try:
+            for effect in reduce(self.state, event, trio.current_time()):
+                _EFFECT_HANDLERS[type(effect)](self, effect)
+        except Exception as exc:
+            where = "".join(traceback.format_tb(exc.__traceback__)[-2:])
+            error = log.UnexpectedError(type(event).__name__, repr(exc), where)
+            self.log.write(error, trio.current_time())
+            self.metrics.count("cactussaddle_errors_total", {"event": error.event})
+
     async def run_timers(self) -> None:
         """Feed a tick whenever one is due, and write the log."""
         sweep_at = 0.0
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/metrics.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/metrics.py
@@ -22,6 +22,7 @@
     "cactussaddle_answers_total": "Answers by route and result.",
     "cactussaddle_extra_calls_total": "Calls beyond the first of a part, by reason.",
     "cactussaddle_breaches_total": "Broken promises by name.",
+    "cactussaddle_errors_total": "Faults of the program, by the event that met one.",
 }
 GAUGES: Mapping[str, str] = {
     "cactussaddle_requests": "Requests under way.",
--- a/tests/common/http/test_channel.py
+++ b/tests/common/http/test_channel.py
@@ -34,6 +34,19 @@
     return bytes(end.response.body)
 
 
+class BrokenSocket:
+    """A socket on which nothing can be sent any more."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self._sock = sock
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._sock, name)
+
+    def send(self, data: bytes) -> int:
+        raise BrokenPipeError(32, "broken pipe")
+
+
 async def answers(stream):
     async with stream:
         while await read_request(stream):
@@ -87,6 +100,27 @@
 
         run(silent, body, most=1)
 
+    def test_a_write_that_fails_at_once_ends_just_its_own_exchange(self):
+        async def body(pool):
+            ends: list[Any] = []
+            async with trio.open_nursery() as nursery:
+                for _ in range(3):
+                    nursery.start_soon(self.keep, pool, ends, 1.0)
+                await trio.sleep(0.01)
+                (channel,) = pool.channels
+                channel._sock = BrokenSocket(channel._sock)
+                channel._outbox._sock = channel._sock
+            self.assertEqual([end.loss for end in ends].count(Loss.RESET), 1)
+            self.assertEqual([end.loss for end in ends].count(None), 2)
+
+        async def slow(stream):
+            async with stream:
+                while await read_request(stream):
+                    await trio.sleep(0.05)
+                    await stream.send_all(reply())
+
+        run(slow, body, most=1)
+
     async def keep(self, pool, ends, timeout_s):
         ends.append(await fetch(pool, REQUEST, timeout_s))
 
