Requests that crash the leaves that run them are held on all nodes

Change: the book of the stand-ins' path (hold/) judges here too. A call that broke has its leaf probed; a leaf found down or started anew has crashed, with the requests whose calls broke there in the last 2 s. Nodes tell one another by datagram, three times each. A verdict waits 0.6 s, since a request that was at two of many leaves lost at once looks like a culprit until the others are missed. Held: 503, not run. Tests: tests/core/edge/test_crashes.py (held after two crashes, told, bystanders of a mass loss not held).

--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/effects.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/effects.py
@@ -12,6 +12,7 @@
 if TYPE_CHECKING:
     from cactussaddle_core.fleet.hints import Hint
     from cactussaddle_core.fleet.leaf import Leaf
+    from cactussaddle_core.hold.book import HoldSnapshot
     from cactussaddle_core.spread.model import Member
     from cactussaddle_core.spread.tree import Place
 
@@ -53,6 +54,13 @@
     hints: tuple[Hint, ...]
 
 
+class TellCrashes(NamedTuple):
+    """Tell the members of requests that crash leaves; some may not hear it."""
+
+    members: tuple[Member, ...]
+    snapshot: HoldSnapshot
+
+
 class CloseIdle(NamedTuple):
     """Close the callers' connections as they fall idle."""
 
@@ -62,5 +70,12 @@
 
 
 Effect: TypeAlias = (
-    FanoutEffect | KeepConnections | Note | SetPlace | TellHints | CloseIdle | EndProcess
+    FanoutEffect
+    | KeepConnections
+    | Note
+    | SetPlace
+    | TellHints
+    | TellCrashes
+    | CloseIdle
+    | EndProcess
 )
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/events.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/events.py
@@ -13,6 +13,7 @@
     from cactussaddle_core.fleet.hints import Hint
     from cactussaddle_core.fleet.model import LeafEntry
     from cactussaddle_core.fleet.probing import Health
+    from cactussaddle_core.hold.book import HoldSnapshot
     from cactussaddle_core.routing.table import RoutingTable
     from cactussaddle_core.spread.model import Member
 
@@ -116,6 +117,12 @@
     hints: tuple[Hint, ...]
 
 
+class CrashesHeard(NamedTuple):
+    """Another node has told of requests that crash leaves."""
+
+    snapshot: HoldSnapshot
+
+
 class RecordRejected(NamedTuple):
     """A record in the store can't be read."""
 
@@ -173,6 +180,7 @@
     | MemberGone
     | MembersListed
     | HintsHeard
+    | CrashesHeard
     | RecordRejected
     | StoreLost
     | StoreBack
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/logevents.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/logevents.py
@@ -202,6 +202,13 @@
     retry_after_ms: float
 
 
+class RequestHeld(NamedTuple):
+    """A request, by its fingerprint, crashed leaves that ran it, this one last; it is held now."""
+
+    fingerprint: str
+    leaf: str
+
+
 class CallerLeft(NamedTuple):
     """A caller closed its connection before the answer; its calls were ended."""
 
@@ -258,6 +265,7 @@
     LeafStanding,
     RequestEnded,
     RequestRefused,
+    RequestHeld,
     CallerLeft,
     Breach,
     UnexpectedError,
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/reduce.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/reduce.py
@@ -13,6 +13,7 @@
 from cactussaddle_core.edge.effects import KeepConnections
 from cactussaddle_core.edge.effects import Note
 from cactussaddle_core.edge.effects import SetPlace
+from cactussaddle_core.edge.effects import TellCrashes
 from cactussaddle_core.edge.effects import TellHints
 from cactussaddle_core.edge.state import HOUSEKEEPING_S
 from cactussaddle_core.fanout import reduce as fanout
@@ -52,6 +53,8 @@
 def _begin(state: EdgeState, request: CallerRequest, arrived_at: float, now: float) -> list[Effect]:
     table = state.tables.table
     assert table is not None
+    if state.crashes.is_held(request.fingerprint, now):
+        return [_hold(state, request, now)]
     path = request.target.split(b"?", 1)[0].decode("latin-1")
     route = table.find(request.host, path)
     if route is None:
@@ -61,6 +64,14 @@
     return [*fanout.begin(state.fanout, request, route, services, table.version, waited_s, now)]
 
 
+def _hold(state: EdgeState, request: CallerRequest, now: float) -> Declined:
+    retry_after_s = state.crashes.retry_after_s(request.fingerprint, now)
+    message = "this request crashed the leaves that ran it"
+    return Declined(
+        request.req_id, request.request_id, ResultCode.HELD, message, False, retry_after_s
+    )
+
+
 def _let_in(state: EdgeState, now: float) -> list[Effect]:
     """Begin the requests that waited for the node to load, once it has."""
     if not state.is_loaded():
@@ -253,7 +264,9 @@
     effects += _sweep(state, now)
     effects += _keep_connections(state, now)
     effects += [Note(change) for change in state.fleet.take_standings(now)]
+    effects += [Note(held) for held in state.crashes.look(now)]
     effects += _tell_hints(state)
+    effects += _tell_crashes(state, now)
     return effects + _go_on_stopping(state, now)
 
 
@@ -271,6 +284,17 @@
     return [TellHints(near, hints)] if near else []
 
 
+def _tell_crashes(state: EdgeState, now: float) -> list[Effect]:
+    snapshot = state.crashes.to_tell(now)
+    others = tuple(m for m in state.members.values() if m.node != state.me.node)
+    return [TellCrashes(others, snapshot)] if snapshot is not None and others else []
+
+
+def _crashes_heard(state: EdgeState, event: ev.CrashesHeard, now: float) -> list[Effect]:
+    state.crashes.heard(event.snapshot, now)
+    return []
+
+
 def _hints_heard(state: EdgeState, event: ev.HintsHeard, now: float) -> list[Effect]:
     take_hints(state.fleet, event.hints, state.fanout.rng, now)
     return []
@@ -325,6 +349,7 @@
     ev.MemberGone: _member_gone,
     ev.MembersListed: _members_listed,
     ev.HintsHeard: _hints_heard,
+    ev.CrashesHeard: _crashes_heard,
     ev.RecordRejected: _record_rejected,
     ev.StoreLost: _store_lost,
     ev.StoreBack: _store_back,
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/state.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/state.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from cactussaddle_core.edge.crashes import CrashWatch
 from cactussaddle_core.edge.effects import Connections
 from cactussaddle_core.edge.loading import WaitingRoom
 from cactussaddle_core.edge.stopping import Stopping
@@ -57,6 +58,7 @@
         self.fleet = Fleet()
         self.members: dict[str, Member] = {}
         self.member_counts = MemberCounts()
+        self.crashes = CrashWatch(node=me.node, fleet=self.fleet)
         self.waiting = WaitingRoom()
         self.store_up = False
         self.store_lost_at_start = False
@@ -70,6 +72,7 @@
             fleet=self.fleet,
             budget=self.budget,
             may_call=self.may_call,
+            ran_well=self.crashes.ran_well,
             own_domain=me.domain,
             region_of=me.region_of,
             seed=seed,
--- a/packages/cactussaddle-core/src/cactussaddle_core/fanout/model.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/model.py
@@ -22,6 +22,7 @@
     """A caller's whole request.
 
     `request_id` is the caller's own id, `patience_s` how long the caller waits from now on.
+    `fingerprint` is the same for each sending of the same request.
     """
 
     req_id: int
@@ -32,6 +33,7 @@
     headers: Headers
     body: bytes
     patience_s: float
+    fingerprint: str
 
 
 class CallEnding(enum.StrEnum):
--- a/packages/cactussaddle-core/src/cactussaddle_core/fanout/reduce.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/reduce.py
@@ -226,6 +226,7 @@
         leaf.answered(now)
         leaf.saw_fault(False, now)
         leaf.saw_slowness(book.timings.took(route, leaf, elapsed_s, now), now)
+        book.ran_well(call.part.query.request.fingerprint, leaf.name, now)
     elif end.ending in (CallEnding.REFUSED, CallEnding.FAILED):
         if end.wrong_leaf:
             book.fleet.suspect(leaf, Standing.DOWN, now, "another leaf has the address")
@@ -233,6 +234,7 @@
             leaf.answered(now)
         _saw_fault(book, leaf, now)
     elif end.ending is CallEnding.BROKEN:
+        leaf.saw_break(call.part.query.request.fingerprint, now)
         _saw_fault(book, leaf, now)
     elif end.ending is CallEnding.NOT_SENT:
         book.fleet.suspect(leaf, Standing.DOWN, now, f"no connection: {end.detail}")
--- a/packages/cactussaddle-core/src/cactussaddle_core/fanout/state.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/state.py
@@ -178,7 +178,11 @@
 
 
 class FanoutBook:
-    """All queries under way on one node."""
+    """All queries under way on one node.
+
+    `may_call(leaf, now)` says whether a new call may go to a leaf; `ran_well(fingerprint, leaf,
+    now)` hears of each request that a leaf has run to its end.
+    """
 
     def __init__(
         self,
@@ -186,6 +190,7 @@
         fleet: Fleet,
         budget: RetryBudget,
         may_call: Callable[[Leaf, float], bool],
+        ran_well: Callable[[str, str, float], None],
         own_domain: str,
         region_of: Mapping[str, str],
         seed: int,
@@ -193,6 +198,7 @@
         self.fleet = fleet
         self.budget = budget
         self.may_call = may_call
+        self.ran_well = ran_well
         self.own_domain = own_domain
         self.region_of = region_of
         self.timings = RouteTimings(own_domain=own_domain)
--- a/packages/cactussaddle-core/src/cactussaddle_core/fleet/book.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fleet/book.py
@@ -39,6 +39,7 @@
         self.loaded = False
         self.hints = HintBook()
         self.probes = ProbePlan()
+        self._fallen: list[Leaf] = []
         self._noted: dict[str, tuple[Standing, bool, str]] = {}
         self._store_back_at = -math.inf
         self._store_out = False
@@ -72,6 +73,8 @@
         if leaf is not None and _is_older(entry, leaf.entry):
             return None
         if leaf is None or _restarted(leaf.entry, entry):
+            if leaf is not None and leaf.broken:
+                self._fallen.append(leaf)
             started = Leaf(entry=entry, probes=self.probes, now=now)
             self._put(started)
             return started
@@ -110,6 +113,7 @@
         """Avoid a leaf for a while; other nodes are told when it has just gone down."""
         if standing is Standing.DOWN and leaf.standing is not Standing.DOWN:
             self.hints.note(leaf, Trouble.DOWN)
+            self._fallen.append(leaf)
         self.note_standing(leaf, cause, now)
         leaf.suspect(standing, now)
 
@@ -121,6 +125,11 @@
         elif len(self._noted) < MAX_NOTED:
             self._noted[leaf.name] = (leaf.standing, leaf.is_slow(now), cause)
 
+    def take_fallen(self) -> list[Leaf]:
+        """Return the leaves that went down since asked last."""
+        fallen, self._fallen = self._fallen, []
+        return fallen
+
     def take_standings(self, now: float) -> list[LeafStanding]:
         """Return what is believed of leaves that has changed since asked last."""
         if not self._noted:
--- a/packages/cactussaddle-core/src/cactussaddle_core/fleet/leaf.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fleet/leaf.py
@@ -28,6 +28,8 @@
 # Weight of the newest call in the share of calls that a leaf refuses or fails.
 FAULT_WEIGHT = 0.3
 FAULT_HALF_LIFE_S = 2.0
+# A call that broke this long before its leaf was found down may have crashed it.
+BROKEN_KEPT_S = 2.0
 FIRST_SUSPICION_S = 0.3
 MAX_SUSPICION_S = 2.0
 
@@ -38,7 +40,7 @@
     `slowness` is how many times longer it takes than is usual on its routes. `waiting` holds the
     calls without an answer, with the time from which each is overdue. `connect_s` is the least
     time that a connection took, about one round trip. `room` is how many connections this node
-    may have to it.
+    may have to it. `broken` holds the calls that broke of late, by time and fingerprint.
     """
 
     def __init__(self, *, entry: LeafEntry, probes: ProbePlan, now: float) -> None:
@@ -50,6 +52,7 @@
         self.cold_meter = ColdMeter()
         self.waiting: dict[int, float] = {}
         self.room = 1
+        self.broken: list[tuple[float, str]] = []
         self.connect_s: float | None = None
         self.load: Load | None = None
         self.load_at = -math.inf
@@ -134,6 +137,16 @@
         self._faults = before + weight * (float(fault) - before)
         self._faults_at = now
 
+    def saw_break(self, fingerprint: str, now: float) -> None:
+        """Take in that a call of a request broke, and find out whether the leaf is still there."""
+        self.broken = [entry for entry in self.broken if now - entry[0] < BROKEN_KEPT_S]
+        self.broken.append((now, fingerprint))
+        self.probes.ask(self.name, now)
+
+    def broken_lately(self, now: float) -> list[str]:
+        """Return the fingerprints of the requests whose calls broke of late."""
+        return [entry[1] for entry in self.broken if now - entry[0] < BROKEN_KEPT_S]
+
     def is_slow(self, now: float) -> bool:
         """Return whether a probe has lately shown the leaf to be slow."""
         return now - self._probed_at < PROBE_HOLDS_S and self._probed_slowness >= SLOW_RATIO
--- a/packages/cactussaddle-core/src/cactussaddle_core/hold/book.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/hold/book.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import enum
+import math
 
 from collections import Counter
 from collections import OrderedDict
@@ -218,6 +219,13 @@
             return 0.0
         return max(0.0, max(suspect.crashes.values()) + HOLD_S - now)
 
+    def last_crash_age_s(self, fingerprint: str, now: float) -> float:
+        """Return how long ago the newest crash of a suspect was heard of; infinite without one."""
+        suspect = self.suspects.get(fingerprint)
+        if suspect is None or not suspect.crashes:
+            return math.inf
+        return now - max(suspect.crashes.values())
+
     def begin_trial(self, fingerprint: str, now: float) -> bool:
         """Claim the one trial of a suspect on this node; false while another runs."""
         suspect = self.suspects.get(fingerprint)
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/daemon.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/daemon.py
@@ -30,10 +30,10 @@
 from cactussaddle_core.routing.model import DEFAULT_CALLER_LIMITS
 from cactussaddle_node.early import listen
 from cactussaddle_node.edge.caller import CallerHooks
+from cactussaddle_node.edge.datagrams import Datagrams
 from cactussaddle_node.edge.dump import dump
 from cactussaddle_node.edge.eventlog import EventLog
 from cactussaddle_node.edge.follow import Follower
-from cactussaddle_node.edge.hintwire import HintSocket
 from cactussaddle_node.edge.leafcaller import LeafCaller
 from cactussaddle_node.edge.listener import Listener
 from cactussaddle_node.edge.metrics import Metrics
@@ -88,7 +88,7 @@
             nursery=nursery, wire=leaves, local_host=cfg.ip, feed=self.feed
         )
         self.place_changed: Callable[[Place], None] | None = None
-        self.hint_socket = HintSocket(host=cfg.ip, peer_port=cfg.peer_port, feed=self.feed)
+        self.datagrams = Datagrams(host=cfg.ip, peer_port=cfg.peer_port, feed=self.feed)
         self.stopped = trio.Event()
         self.metrics = Metrics()
         self._events: deque[ev.Event] = deque()
@@ -263,7 +263,8 @@
     fx.Note: EdgeDaemon.note,
     fx.CloseIdle: EdgeDaemon._close_idle,
     fx.SetPlace: EdgeDaemon._set_place,
-    fx.TellHints: lambda daemon, effect: daemon.hint_socket.tell(effect),
+    fx.TellHints: lambda daemon, effect: daemon.datagrams.tell_hints(effect),
+    fx.TellCrashes: lambda daemon, effect: daemon.datagrams.tell_crashes(effect),
     fx.EndProcess: EdgeDaemon._end_process,
 }
 
@@ -327,7 +328,7 @@
         for listener in listeners:
             nursery.start_soon(listener.accept)
         nursery.start_soon(daemon.run_timers)
-        nursery.start_soon(daemon.hint_socket.listen)
+        nursery.start_soon(daemon.datagrams.listen)
         nursery.start_soon(follower.run)
         nursery.start_soon(
             register,
--- /dev/null
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/datagrams.py
@@ -0,0 +1,107 @@
+"""Soft news between nodes, as MessagePack in datagrams: a lost one does no harm."""
+
+from __future__ import annotations
+
+import socket
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
+import trio
+
+from cactussaddle_core.edge import events as ev
+from cactussaddle_core.fleet.hints import Hint
+from cactussaddle_core.hold.book import HoldSnapshot
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+    from types import TracebackType
+    from typing import Self
+
+    from cactussaddle_core.edge.effects import TellCrashes
+    from cactussaddle_core.edge.effects import TellHints
+    from cactussaddle_core.spread.model import Member
+
+READ_BYTES = 65_536
+# Datagrams go to the port after the one for other nodes' questions.
+PORT_OFFSET = 1
+HINTS = 1
+CRASHES = 2
+
+_encoder = msgspec.msgpack.Encoder()
+_frame_decoder = msgspec.msgpack.Decoder(tuple[int, msgspec.Raw])
+_decoders: dict[int, msgspec.msgpack.Decoder[Any]] = {
+    HINTS: msgspec.msgpack.Decoder(tuple[Hint, ...]),
+    CRASHES: msgspec.msgpack.Decoder(HoldSnapshot),
+}
+_events: dict[int, Callable[[Any], ev.Event]] = {
+    HINTS: ev.HintsHeard,
+    CRASHES: ev.CrashesHeard,
+}
+
+
+class Datagrams:
+    """Sends and receives news at `host`, at the port after `peer_port`."""
+
+    def __init__(self, *, host: str, peer_port: int, feed: Callable[[ev.Event], None]) -> None:
+        self._feed = feed
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._sock.setblocking(False)
+        self._sock.bind((host, peer_port + PORT_OFFSET))
+        self.unsent = 0
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        trio.lowlevel.notify_closing(self._sock)
+        self._sock.close()
+
+    def tell_hints(self, effect: TellHints) -> None:
+        """Send hints of leaves."""
+        self._send(effect.members, HINTS, effect.hints)
+
+    def tell_crashes(self, effect: TellCrashes) -> None:
+        """Send what is known of requests that crash leaves."""
+        self._send(effect.members, CRASHES, effect.snapshot)
+
+    def _send(self, members: Iterable[Member], kind: int, message: Any) -> None:
+        """Send a message; what the network does not take at once is counted and dropped."""
+        data = _encoder.encode((kind, message))
+        for member in members:
+            try:
+                self._sock.sendto(data, (member.host, member.port + PORT_OFFSET))
+            except OSError:
+                self.unsent += 1
+
+    async def listen(self) -> None:
+        """Feed what other nodes tell until closed."""
+        while True:
+            try:
+                await trio.lowlevel.wait_readable(self._sock)
+                data = self._sock.recv(READ_BYTES)
+            except trio.ClosedResourceError:
+                return
+            except OSError:
+                continue
+            event = decode(data)
+            if event is not None:
+                self._feed(event)
+
+
+def decode(data: bytes) -> ev.Event | None:
+    """Return what a datagram says; None for one that can't be read here."""
+    try:
+        kind, raw = _frame_decoder.decode(data)
+        if kind not in _decoders:
+            return None
+        return _events[kind](_decoders[kind].decode(raw))
+    except (msgspec.ValidationError, msgspec.DecodeError):
+        return None
--- /dev/null
+++ b/tests/core/edge/test_crashes.py
@@ -0,0 +1,120 @@
+from __future__ import annotations
+
+import unittest
+
+from cactussaddle_core.edge import effects as fx
+from cactussaddle_core.edge import events as ev
+from cactussaddle_core.edge.crashes import CrashWatch
+from cactussaddle_core.fanout.model import CallEnding
+from cactussaddle_core.fleet.book import Fleet
+from cactussaddle_core.fleet.model import Standing
+from cactussaddle_core.fleet.probing import Health
+from cactussaddle_core.fleet.probing import ProbeEnd
+from tests.core.edge.world import DOMAINS
+from tests.core.edge.world import Doing
+from tests.core.edge.world import World
+from tests.core.edge.world import entry
+from tests.core.edge.world import leaf_name
+
+GONE = Health(ProbeEnd.NOT_CONNECTED, "", False, None, 0.0)
+POISON = "poison"
+
+
+class CrashingRequestTest(unittest.TestCase):
+    def setUp(self):
+        self.world = World()
+        for domain in DOMAINS:
+            self.world.doing[leaf_name("orders", domain)] = self.crash
+
+    def crash(self, now, rng):
+        return Doing(0.002, CallEnding.BROKEN)
+
+    def poison(self) -> int:
+        """Send the request; each leaf that runs it is found gone by the next probe."""
+        req_id = self.world.ask(b"/o/1", fingerprint=POISON)
+        self.world.run(0.05)
+        for call in self.world.calls_of(req_id):
+            self.world.feed(ev.ProbeEnded(call.leaf.name, GONE))
+        self.world.run(1.0)
+        return req_id
+
+    def test_it_is_held_after_two_crashes_and_told_to_all_nodes(self):
+        self.poison()
+        again = self.world.ask(b"/o/1", fingerprint=POISON)
+        answer = self.world.done[again]
+        self.assertEqual((answer.kind, answer.ran), ("HELD", False))
+        self.assertGreater(answer.retry_after_s, 60.0)
+        told = [e for e in self.world.effects if isinstance(e, fx.TellCrashes)]
+        self.assertEqual(len(told[0].members), 7)
+        self.assertEqual({s.fingerprint for s in told[-1].snapshot.strikes}, {POISON})
+
+    def test_another_node_that_hears_of_it_holds_it_too(self):
+        self.poison()
+        told = [e for e in self.world.effects if isinstance(e, fx.TellCrashes)]
+        other = World(seed=2)
+        other.feed(ev.CrashesHeard(told[-1].snapshot))
+        other.run(1.0)
+        again = other.ask(b"/o/1", fingerprint=POISON)
+        self.assertEqual(other.done[again].kind, "HELD")
+
+    def test_others_are_served(self):
+        self.poison()
+        for domain in DOMAINS:
+            del self.world.doing[leaf_name("orders", domain)]
+            self.world.leaf("orders", domain).answered(self.world.now)
+        other = self.world.ask(b"/o/2")
+        self.world.run(2.0)
+        self.assertEqual(self.world.done[other].kind, "relayed 200")
+
+    def test_an_answer_that_is_lost_is_no_crash(self):
+        for _ in range(4):
+            self.world.ask(b"/o/1", fingerprint=POISON)
+            self.world.run(0.5)
+        again = self.world.ask(b"/o/1", fingerprint=POISON)
+        self.world.run(2.0)
+        self.assertNotEqual(self.world.done[again].kind, "HELD")
+
+
+class CrashWatchTest(unittest.TestCase):
+    def setUp(self):
+        self.fleet = Fleet()
+        services = [f"s{n}" for n in range(8)]
+        self.fleet.listed([entry(s, d) for s in services for d in DOMAINS], 10.0)
+        self.watch = CrashWatch(node="n0", fleet=self.fleet)
+
+    def fall(self, service: str, domain: str, fingerprints: list[str], now: float):
+        leaf = self.fleet.leaves[leaf_name(service, domain)]
+        for fingerprint in fingerprints:
+            leaf.saw_break(fingerprint, now)
+        self.fleet.suspect(leaf, Standing.DOWN, now, "no connection")
+
+    def test_many_leaves_lost_at_once_hold_no_request_that_was_at_some(self):
+        for number in range(8):
+            self.fall(f"s{number}", DOMAINS[0], ["bystander"] if number < 3 else [], 20.0)
+        self.assertEqual(self.watch.look(20.1), [])
+        self.assertFalse(self.watch.is_held("bystander", 21.0))
+
+    def test_a_leaf_that_starts_anew_under_its_id_has_crashed_as_well(self):
+        for number, domain in enumerate(DOMAINS[:2]):
+            leaf = self.fleet.leaves[leaf_name("s0", domain)]
+            leaf.saw_break("poison", 20.0 + number)
+            self.fleet.changed(entry("s0", domain, born_ms=2), 20.5 + number)
+            self.watch.look(20.6 + number)
+        self.assertTrue(self.watch.is_held("poison", 23.0))
+
+    def test_breaks_long_before_are_not_blamed(self):
+        leaf = self.fleet.leaves[leaf_name("s0", DOMAINS[0])]
+        leaf.saw_break("old", 10.0)
+        self.fleet.suspect(leaf, Standing.DOWN, 20.0, "no connection")
+        self.watch.look(20.0)
+        self.assertIsNone(self.watch.to_tell(20.0))
+
+    def test_what_is_known_is_told_a_few_times(self):
+        self.fall("s0", DOMAINS[0], ["poison"], 20.0)
+        self.watch.look(20.0)
+        told = [at for at in (20.0, 20.1, 20.4, 20.8, 21.2, 21.6) if self.watch.to_tell(at)]
+        self.assertEqual(len(told), 3)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/core/edge/world.py
+++ b/tests/core/edge/world.py
@@ -181,11 +181,20 @@
                 self.now = max(self.now, due)
                 self.feed(ev.Tick())
 
-    def ask(self, target: bytes = b"/s/x", patience_s: float = 1.5, body: bytes = b"") -> int:
+    def ask(
+        self,
+        target: bytes = b"/s/x",
+        patience_s: float = 1.5,
+        body: bytes = b"",
+        fingerprint: str = "",
+    ) -> int:
         self._next_req += 1
         req_id = self._next_req
         self._started[req_id] = self.now
-        request = fan.CallerRequest(req_id, f"r{req_id}", b"GET", target, "h", (), body, patience_s)
+        fingerprint = fingerprint or f"f{req_id}"
+        request = fan.CallerRequest(
+            req_id, f"r{req_id}", b"GET", target, "h", (), body, patience_s, fingerprint
+        )
         self.feed(ev.RequestArrived(request))
         return req_id
 
--- /dev/null
+++ b/tests/node/edge/test_datagrams.py
@@ -0,0 +1,51 @@
+from __future__ import annotations
+
+import unittest
+
+from typing import Any
+
+import trio
+
+from cactussaddle_core.edge import effects as fx
+from cactussaddle_core.edge import events as ev
+from cactussaddle_core.fleet.hints import Hint
+from cactussaddle_core.fleet.hints import Trouble
+from cactussaddle_core.hold.book import HoldSnapshot
+from cactussaddle_core.hold.book import Strike
+from cactussaddle_core.spread.model import Member
+from cactussaddle_node.edge.datagrams import Datagrams
+from cactussaddle_node.edge.datagrams import decode
+
+PORT = 17741
+
+
+class DatagramsTest(unittest.TestCase):
+    def test_what_one_node_tells_another_hears(self):
+        heard: list[Any] = []
+        hint = Hint("leaf", 7, Trouble.SLOW, 8.0)
+        snapshot = HoldSnapshot((Strike("f", "leaf", "7"),), ())
+        member = Member("n1", "127.0.0.1", PORT, "north")
+
+        async def main():
+            with Datagrams(host="127.0.0.1", peer_port=PORT, feed=heard.append) as there:
+                sender = Datagrams(host="127.0.0.1", peer_port=PORT + 4, feed=heard.append)
+                with sender:
+                    async with trio.open_nursery() as nursery:
+                        nursery.start_soon(there.listen)
+                        sender.tell_hints(fx.TellHints((member,), (hint,)))
+                        sender.tell_crashes(fx.TellCrashes((member,), snapshot))
+                        with trio.move_on_after(2.0):
+                            while len(heard) < 2:
+                                await trio.sleep(0.005)
+                        nursery.cancel_scope.cancel()
+
+        trio.run(main)
+        self.assertEqual(heard, [ev.HintsHeard((hint,)), ev.CrashesHeard(snapshot)])
+
+    def test_what_cannot_be_read_is_left_aside(self):
+        for data in (b"", b"\x00", b"\x92\x63\x90", b"\x92\x01\xa3abc"):
+            self.assertIsNone(decode(data))
+
+
+if __name__ == "__main__":
+    unittest.main()
