--- a/tests/harness/process.py
+++ b/tests/harness/process.py
@@ -15,7 +15,10 @@
     from collections.abc import Callable
 
 ROOT = Path(__file__).resolve().parent.parent.parent
-PACKAGES = ("core", "platform", "node", "cli")
+SOURCES = (
+    *(f"packages/cactussaddle-{name}/src" for name in ("core", "common", "node", "cli")),
+    "platform/src",
+)
 POLL_S = 0.02
 STOP_S = 5.0
 START_S = 15.0
@@ -32,7 +35,7 @@
 
 def environment() -> dict[str, str]:
     """Return the environment of a child, whose modules come from this tree."""
-    sources = [str(ROOT / "packages" / f"cactussaddle-{name}" / "src") for name in PACKAGES]
+    sources = [str(ROOT / source) for source in SOURCES]
     return os.environ | {"PYTHONPATH": os.pathsep.join([str(ROOT), *sources])}
 
 
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,70 @@
+"""Runs the soak: `python -m tests.soak --seeds 1-50 --jobs 3`."""
+
+from __future__ import annotations
+
+import argparse
+import concurrent.futures
+import subprocess
+import sys
+import tempfile
+
+from pathlib import Path
+
+import trio
+
+from tests.harness.process import ROOT
+from tests.harness.process import environment
+from tests.soak.run import Options
+from tests.soak.run import run_soak
+
+BOUND_S = 300.0
+
+
+def run_here(options: Options) -> int:
+    ledger = trio.run(run_soak, options)
+    print(f"seed {options.seed}: {sum(ledger.results.values())} answers {ledger.summary()}")
+    for text in ledger.broken[:20]:
+        print(f"  broken: {text}")
+    return 1 if ledger.broken else 0
+
+
+def run_child(argv: list[str], seed: int) -> tuple[int, str]:
+    command = [sys.executable, "-m", "tests.soak", "--one", str(seed), *argv]
+    done = subprocess.run(
+        command, cwd=ROOT, env=environment(), capture_output=True, text=True, timeout=BOUND_S
+    )
+    return done.returncode, done.stdout + done.stderr[-2000:]
+
+
+def parse_seeds(text: str) -> list[int]:
+    first, _, last = text.partition("-")
+    return list(range(int(first), int(last or first) + 1))
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(prog="python -m tests.soak", description=__doc__)
+    parser.add_argument("--seeds", default="1-5", help="such as 7 or 1-50")
+    parser.add_argument("--one", type=int, help="run this seed here")
+    parser.add_argument("--seconds", type=float, default=15.0, help="how long faults come")
+    parser.add_argument("--nodes", type=int, default=5)
+    parser.add_argument("--callers", type=int, default=12)
+    parser.add_argument("--jobs", type=int, default=2)
+    parser.add_argument("--logs", type=Path, help="folder that keeps the nodes' logs")
+    args = parser.parse_args()
+    if args.one is not None:
+        folder = args.logs or Path(tempfile.mkdtemp(prefix="soak-"))
+        folder.mkdir(parents=True, exist_ok=True)
+        return run_here(Options(args.one, args.seconds, args.nodes, args.callers, folder))
+    passed = ["--seconds", args.seconds, "--nodes", args.nodes, "--callers", args.callers]
+    argv = [str(value) for value in passed]
+    failed = 0
+    with concurrent.futures.ThreadPoolExecutor(args.jobs) as pool:
+        for code, text in pool.map(lambda seed: run_child(argv, seed), parse_seeds(args.seeds)):
+            print(text.rstrip(), flush=True)
+            failed += code != 0
+    print(f"{failed} seeds failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
