Of requests that crash leaves only what is new is told; how long the store was away is told from its loss

Now each note is told three times, and a node that registers is told all. Tests: test_a_later_crash_has_only_what_is_new_told, test_a_node_that_registers_is_told_all. Also: the first store_back said the uptime of the host.

--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/crashes.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/crashes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from cactussaddle_core.edge.logevents import RequestHeld
@@ -11,8 +12,10 @@
 
 if TYPE_CHECKING:
     from cactussaddle_core.fleet.book import Fleet
+    from cactussaddle_core.hold.book import Clearance
+    from cactussaddle_core.hold.book import Strike
 
-# A snapshot is told this often in a row, since messages may be lost.
+# Each note is told this often, since messages may be lost.
 TELLINGS = 3
 # By this time the other leaves lost in a larger event have been missed as well.
 SETTLE_S = 0.6
@@ -27,6 +30,7 @@
         self._book = HoldBook(node=node, service_of=self._service_of)
         self._watched: dict[str, str] = {}
         self._tellings = 0
+        self._told: Counter[Strike | Clearance] = Counter()
         self._tell_at = 0.0
 
     def is_held(self, fingerprint: str, now: float) -> bool:
@@ -73,12 +77,23 @@
             self._tellings = TELLINGS
 
     def to_tell(self, now: float) -> HoldSnapshot | None:
-        """Return what is to be told to all nodes now, if anything."""
+        """Return what is to be told to all nodes now: what they have not been told often enough."""
         if self._tellings == 0 or now < self._tell_at:
             return None
         self._tellings -= 1
         self._tell_at = now + TELL_EVERY_S
-        return self._book.snapshot(now)
+        known = self._book.snapshot(now)
+        strikes = tuple(note for note in known.strikes if self._told[note] < TELLINGS)
+        clearances = tuple(note for note in known.clearances if self._told[note] < TELLINGS)
+        kept = {*known.strikes, *known.clearances}
+        self._told = Counter({note: told for note, told in self._told.items() if note in kept})
+        self._told.update([*strikes, *clearances])
+        return HoldSnapshot(strikes, clearances) if strikes or clearances else None
+
+    def to_tell_newcomer(self, now: float) -> HoldSnapshot | None:
+        """Return all that this node has noted, for a node that has just registered."""
+        known = self._book.snapshot(now)
+        return known if known.strikes or known.clearances else None
 
     def _service_of(self, leaf: str) -> str:
         known = self._fleet.leaves.get(leaf)
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/reduce.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/reduce.py
@@ -195,7 +195,11 @@
 
 
 def _member_seen(state: EdgeState, event: ev.MemberSeen, now: float) -> list[Effect]:
-    return _set_members(state, {**state.members, event.member.node: event.member}, now)
+    effects = _set_members(state, {**state.members, event.member.node: event.member}, now)
+    snapshot = state.crashes.to_tell_newcomer(now)
+    if snapshot is not None and event.member.node != state.me.node:
+        effects.append(TellCrashes((event.member,), snapshot))
+    return effects
 
 
 def _member_gone(state: EdgeState, event: ev.MemberGone, now: float) -> list[Effect]:
@@ -226,7 +230,7 @@
     if not state.store_up:
         return _turn_away(state)
     state.store_up = False
-    state.store_changed_at = now
+    state.store_lost_at = now
     return [Note(log.StoreLost(event.reason, event.source, round(event.age_s, 2)))]
 
 
@@ -245,7 +249,7 @@
     if state.store_up:
         return []
     state.store_up = True
-    away_s = round(now - state.store_changed_at, 2)
+    away_s = round(now - state.store_lost_at, 2) if state.store_lost_at is not None else 0.0
     return [Note(log.StoreBack(event.source, away_s, event.revision))]
 
 
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/state.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/state.py
@@ -65,7 +65,7 @@
         self.waiting = WaitingRoom()
         self.store_up = False
         self.store_lost_at_start = False
-        self.store_changed_at = 0.0
+        self.store_lost_at: float | None = None
         self.registry_seen_at = 0.0
         self.stopping = Stopping()
         self.connections_changed = False
--- a/tests/core/edge/test_crashes.py
+++ b/tests/core/edge/test_crashes.py
@@ -115,6 +115,27 @@
         told = [at for at in (20.0, 20.1, 20.4, 20.8, 21.2, 21.6) if self.watch.to_tell(at)]
         self.assertEqual(len(told), 3)
 
+    def test_a_later_crash_has_only_what_is_new_told(self):
+        self.fall("s0", DOMAINS[0], ["poison"], 20.0)
+        self.watch.look(20.0)
+        for at in (20.0, 20.4, 20.8):
+            self.watch.to_tell(at)
+        self.fall("s1", DOMAINS[0], ["another"], 24.0)
+        self.watch.look(24.0)
+        snapshot = self.watch.to_tell(24.0)
+        assert snapshot is not None
+        self.assertEqual([strike.fingerprint for strike in snapshot.strikes], ["another"])
+
+    def test_a_node_that_registers_is_told_all(self):
+        self.assertIsNone(self.watch.to_tell_newcomer(20.0))
+        self.fall("s0", DOMAINS[0], ["poison"], 20.0)
+        self.watch.look(20.0)
+        for at in (20.0, 20.4, 20.8):
+            self.watch.to_tell(at)
+        snapshot = self.watch.to_tell_newcomer(30.0)
+        assert snapshot is not None
+        self.assertEqual([strike.fingerprint for strike in snapshot.strikes], ["poison"])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/core/edge/test_edge.py
+++ b/tests/core/edge/test_edge.py
@@ -39,6 +39,18 @@
         self.assertTrue(stopping.may_end(0, 104.0))
 
 
+class StoreNewsTest(unittest.TestCase):
+    def test_how_long_the_store_was_away(self):
+        world = World()
+        world.feed(ev.StoreBack("store", 5, 0.0))
+        world.run(2.0)
+        world.feed(ev.StoreLost("silent", "store", 0.5))
+        world.run(3.0)
+        world.feed(ev.StoreBack("store", 6, 0.0))
+        back = [note for note in world.notes if isinstance(note, log.StoreBack)]
+        self.assertEqual([note.away_s for note in back], [0.0, 3.0])
+
+
 class EdgeTest(unittest.TestCase):
     def test_a_stop_ends_the_process_only_when_its_requests_have_their_answers(self):
         world = World()
