A leaf whose address another has is called no more; what a stop can't await gets its last answer

Cause: a leaf of another service had got a dead leaf's address; it refused each call as not meant for it, and parts whose leaves had all refused asked the first of them again. Such a leaf gets no call until it answers under its own id. Test: test_what_a_stop_can_await_no_longer_gets_an_answer_and_is_not_cut.

--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/reduce.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/reduce.py
@@ -325,11 +325,14 @@
 def _go_on_stopping(state: EdgeState, now: float) -> list[Effect]:
     if not state.stopping.closing(now):
         return []
+    effects: list[Effect] = []
+    if state.stopping.gives_up(now):
+        effects += fanout.give_up(state.fanout, now)
     requests = len(state.fanout.queries)
-    if state.stopping.may_end(requests, now):
+    if not effects and state.stopping.may_end(requests, now):
         require(requests == 0, Promise.GRACEFUL_STOP, f"the stop cuts {requests} requests")
         return [EndProcess()]
-    return [CloseIdle()]
+    return [*effects, CloseIdle()]
 
 
 def _keep_connections(state: EdgeState, now: float) -> list[Effect]:
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/stopping.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/stopping.py
@@ -8,6 +8,8 @@
 LEAVE_BALANCER_S = 2.6
 # The process ends this long before it would be killed.
 END_SPARE_S = 0.7
+# What is still in hand this long before the end gets its last answer, which takes a moment to leave.
+GIVE_UP_SPARE_S = 0.15
 
 
 class Stopping:
@@ -30,6 +32,10 @@
         """Return whether callers are to be sent to other nodes."""
         return now >= self.close_at
 
+    def gives_up(self, now: float) -> bool:
+        """Return whether requests in hand can be awaited no longer."""
+        return now >= self.end_at - GIVE_UP_SPARE_S
+
     def may_end(self, requests: int, now: float) -> bool:
         """Return whether the process may end: nothing is in hand, or the time is over."""
         return self.closing(now) and (requests == 0 or now >= self.end_at)
--- a/packages/cactussaddle-core/src/cactussaddle_core/fanout/reduce.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/reduce.py
@@ -136,6 +136,14 @@
     return [] if query is None else end_all(query, now, linger=False)
 
 
+def give_up(book: FanoutBook, now: float) -> list[FanoutEffect]:
+    """Answer all queries without a result: the process ends."""
+    effects: list[FanoutEffect] = []
+    for query in list(book.queries.values()):
+        effects += decline(book, query, "the node stops", now)
+    return effects
+
+
 def tick(book: FanoutBook, now: float) -> list[FanoutEffect]:
     """Review the queries that are due."""
     effects: list[FanoutEffect] = []
@@ -234,6 +242,7 @@
         book.ran_well(call.part.query.request.fingerprint, leaf.name, now)
     elif end.ending in (CallEnding.REFUSED, CallEnding.FAILED):
         if end.wrong_leaf:
+            leaf.displaced = True
             book.fleet.suspect(leaf, Standing.DOWN, now, "another leaf has the address")
         else:
             leaf.answered(now)
--- a/packages/cactussaddle-core/src/cactussaddle_core/fleet/book.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fleet/book.py
@@ -145,8 +145,8 @@
         return changes
 
     def may_get_calls(self, leaf: Leaf, now: float) -> bool:
-        """Return whether the operators and the registry let new calls go to a leaf."""
-        if leaf.entry.draining or now >= leaf.unlisted_at:
+        """Return whether new calls may go to a leaf, by the operators, the registry and its address."""
+        if leaf.entry.draining or leaf.displaced or now >= leaf.unlisted_at:
             return False
         return leaf.entry.domain not in self.domains_out
 
--- a/packages/cactussaddle-core/src/cactussaddle_core/fleet/leaf.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fleet/leaf.py
@@ -40,7 +40,7 @@
     `slowness` is how many times longer it takes than is usual on its routes. `waiting` holds the
     calls without an answer, with the time from which each is overdue. `connect_s` is the least
     time that a connection took, about one round trip. `room` is how many connections this node
-    may have to it. `broken` holds the calls that broke of late, by time and fingerprint.
+    may have to it. `displaced` says that another leaf answers at its address. `broken` holds the calls that broke of late, by time and fingerprint.
     """
 
     def __init__(self, *, entry: LeafEntry, probes: ProbePlan, now: float) -> None:
@@ -52,6 +52,7 @@
         self.cold_meter = ColdMeter()
         self.waiting: dict[int, float] = {}
         self.room = 1
+        self.displaced = False
         self.broken: list[tuple[float, str]] = []
         self.connect_s: float | None = None
         self.load: Load | None = None
@@ -154,6 +155,7 @@
     def answered(self, now: float) -> None:
         """Take in any answer: the leaf is there."""
         self.heard_at = now
+        self.displaced = False
         self.standing = Standing.READY
         self.suspect_until = 0.0
         self.suspicion_s = FIRST_SUSPICION_S
--- a/packages/cactussaddle-core/src/cactussaddle_core/fleet/probing.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fleet/probing.py
@@ -63,6 +63,8 @@
         first = leaf.standing is Standing.READY
         fleet.suspect(leaf, Standing.SUSPECT if first else Standing.DOWN, now, health.end.value)
         return
+    if health.end is ProbeEnd.ANSWERED and health.leaf not in ("", name):
+        leaf.displaced = True
     if health.end is ProbeEnd.NOT_CONNECTED or health.leaf != name or not health.healthy:
         fleet.suspect(leaf, Standing.DOWN, now, _cause(leaf, health))
         return
--- a/tests/core/edge/test_edge.py
+++ b/tests/core/edge/test_edge.py
@@ -66,6 +66,20 @@
         self.assertEqual(world.done[req_id].kind, "relayed 200")
         self.assertTrue(any(isinstance(e, fx.EndProcess) for e in world.effects))
 
+    def test_what_a_stop_can_await_no_longer_gets_an_answer_and_is_not_cut(self):
+        """Found by the soak, seed 20: a hung leaf outlasted the grace and the request was cut."""
+        world = World()
+        for domain in DOMAINS:
+            world.doing[leaf_name("orders", domain)] = dark
+        world.feed(ev.StopAsked(4.0))
+        world.run(1.5)
+        req_id = world.ask(b"/u/1", patience_s=5.0)
+        world.run(2.0)
+        answer = world.done[req_id]
+        self.assertEqual((answer.kind, answer.ran), ("OUTCOME_UNKNOWN", True))
+        ends = [type(effect) for effect in world.effects]
+        self.assertGreater(ends.index(fx.EndProcess), ends.index(fan.Declined))
+
     def test_shares_follow_the_members(self):
         world = World(nodes=2)
         few = world.state.connections(world.leaf("s0", DOMAINS[0]), world.now).most
--- a/tests/core/edge/world.py
+++ b/tests/core/edge/world.py
@@ -46,6 +46,7 @@
     work_s: float
     ending: fan.CallEnding = fan.CallEnding.ANSWERED
     load: Load | None = None
+    wrong_leaf: bool = False
 
 
 class Done(NamedTuple):
@@ -274,7 +275,7 @@
             reply = fan.LeafReply(200, (), body, f"sig-{call.call_id}")
         elif does.ending is fan.CallEnding.FAILED:
             reply = fan.LeafReply(500, (), b"", "sig")
-        end = fan.CallEnd(call.call_id, does.ending, "", reply, does.load)
+        end = fan.CallEnd(call.call_id, does.ending, "", reply, does.load, does.wrong_leaf)
         self.later(self._trip_s(call.leaf) + does.work_s, ev.CallEnded(end))
 
     def _probe(self, leaf: Any) -> None:
--- a/tests/core/fanout/test_reduce.py
+++ b/tests/core/fanout/test_reduce.py
@@ -74,6 +74,31 @@
         self.assertEqual(lingers[slow.name], 0.0)
         self.assertGreater(lingers[leaf_name("s5", DOMAINS[0])], 0.0)
 
+    def test_a_leaf_whose_address_another_has_is_called_no_more(self):
+        """Replays an incident: each sending counted against the service that has the address now."""
+        gone = leaf_name("s1", DOMAINS[0])
+        self.world.doing[gone] = lambda now, rng: Doing(0.001, CallEnding.REFUSED, wrong_leaf=True)
+        self.world.probe_factor[gone] = lambda now: None
+        for domain in DOMAINS[1:]:
+            self.world.doing[leaf_name("s1", domain)] = ending(CallEnding.REFUSED)
+        for _ in range(20):
+            self.world.ask()
+            self.world.run(0.05)
+        self.world.run(2.0)
+        sent = [name for _, name, _ in self.world.sent if name == gone]
+        self.assertEqual(len(sent), 1)
+
+    def test_a_leaf_that_has_its_address_again_is_called_again(self):
+        gone = leaf_name("s1", DOMAINS[0])
+        self.world.doing[gone] = lambda now, rng: Doing(0.001, CallEnding.REFUSED, wrong_leaf=True)
+        self.answer()
+        del self.world.doing[gone]
+        self.world.run(2.0)
+        before = len(self.world.sent)
+        for _ in range(10):
+            self.answer(0.5)
+        self.assertIn(gone, [name for _, name, _ in self.world.sent[before:]])
+
     def test_a_failure_is_retried_at_another_leaf(self):
         self.world.doing[leaf_name("s1", DOMAINS[0])] = ending(CallEnding.FAILED)
         self.world.doing[leaf_name("s2", DOMAINS[0])] = ending(CallEnding.BROKEN)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -15,20 +15,30 @@
 from tests.soak.run import Options
 from tests.soak.run import run_soak
 
-SHORT_SEEDS = (3, 9)
+SHORT_SEED = 3
 SHORT_S = 6.0
+# Seeds that once failed stay, as they were run: 12 (a node was ended by a signal while it loaded),
+# 20 (a planned stop cut a request that a leaf held).
+FAILED_SEEDS = (12, 20)
+FAILED_S = 15.0
 
 
 class SoakTest(unittest.TestCase):
     """Real nodes under faults from outside keep the promises."""
 
-    def test_short_runs(self) -> None:
-        for seed in SHORT_SEEDS:
-            with self.subTest(seed=seed), tempfile.TemporaryDirectory() as folder:
-                options = Options(seed, SHORT_S, nodes=4, callers=8, folder=Path(folder))
-                ledger = trio.run(run_soak, options)
-                self.assertEqual(ledger.broken, [])
-                self.assertGreater(ledger.results["gather 200"], 50, ledger.summary())
+    def check(self, seed: int, seconds: float, *, nodes: int, callers: int) -> None:
+        with self.subTest(seed=seed), tempfile.TemporaryDirectory() as folder:
+            options = Options(seed, seconds, nodes=nodes, callers=callers, folder=Path(folder))
+            ledger = trio.run(run_soak, options)
+            self.assertEqual(ledger.broken, [])
+            self.assertGreater(ledger.results["gather 200"], 50, ledger.summary())
+
+    def test_a_short_run(self) -> None:
+        self.check(SHORT_SEED, SHORT_S, nodes=4, callers=8)
+
+    def test_seeds_that_once_failed(self) -> None:
+        for seed in FAILED_SEEDS:
+            self.check(seed, FAILED_S, nodes=5, callers=12)
 
 
 class LedgerTest(unittest.TestCase):
