--- a/packages/cactussaddle-cli/src/cactussaddle_cli/main.py
+++ b/packages/cactussaddle-cli/src/cactussaddle_cli/main.py
@@ -4,6 +4,7 @@
 
 import argparse
 import importlib
+import os
 import pkgutil
 import sys
 
@@ -17,6 +18,8 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+# What a shell reports of a program that SIGPIPE ended.
+READER_GONE = 141
 DESCRIPTION = "Operates the query tier: the planners' sheet, the plan, and what became of it."
 
 
@@ -41,8 +44,15 @@
 
 
 def run() -> None:
-    """Run the command line."""
-    sys.exit(main(sys.argv[1:]))
+    """Run the command line; a reader that has had enough of the output ends it quietly."""
+    try:
+        code = main(sys.argv[1:])
+        sys.stdout.flush()
+    except BrokenPipeError:
+        # What is still buffered would fail again when the interpreter flushes it at its end.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        code = READER_GONE
+    sys.exit(code)
 
 
 if __name__ == "__main__":
