--- a/tests/soak/kv.py
+++ b/tests/soak/kv.py
@@ -38,8 +38,8 @@
 class Store:
     """Keys with revisions, leases and a history that may be dropped.
 
-    `mode_of(peer's IP number)` says how a call of a node is treated; leaves and operators write
-    directly.
+    `mode` says how calls of nodes are treated, `modes` how those of one node are, by its IP number;
+    leaves and operators write directly.
     """
 
     def __init__(self, *, rng: random.Random) -> None:
--- a/tests/soak/leaf.py
+++ b/tests/soak/leaf.py
@@ -43,12 +43,14 @@
         store: Store,
         ledger: Ledger,
         rng: random.Random,
+        version: str = "v1",
     ) -> None:
         self.name = name
         self.service = service
         self.domain = domain
         self.address = address
         self.work_s = work_s
+        self.version = version
         self.fault = ""
         self.draining = False
         self.registered = True
@@ -57,6 +59,7 @@
         self._store = store
         self._ledger = ledger
         self._rng = rng
+        self.arrivals: list[float] = []
         self._slots = trio.CapacityLimiter(4)
         self._sequence = 0
         self._told = b""
@@ -93,7 +96,7 @@
             "service": self.service,
             "address": f"{self.address[0]}:{self.address[1]}",
             "zone": self.domain,
-            "version": "v1",
+            "version": self.version,
             "max_concurrency": 4,
             "state": "draining" if self.draining else "ready",
             "cold_left_ms": 0,
@@ -113,6 +116,7 @@
         if req.headers.get("target-instance") not in (None, self.name):
             return Response(421, b"", (("Instance-Id", "other"),))
         self._ledger.arrived(request, self)
+        self.arrivals.append(trio.current_time())
         if self.fault == "hang":
             conn.silence()
         shed = self.fault == "shed" and self._rng.random() < 0.6
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -28,7 +28,7 @@
 
 
 class Seen(NamedTuple):
-    """An answer as its caller saw it; `node_calm` says that no fault was on the node or its links."""
+    """An answer as its caller saw it; times are of the soak's clock."""
 
     request: str
     kind: str
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -53,7 +53,11 @@
 
 
 class Soak:
-    """The world of one run."""
+    """The world of one run: stand-ins, links, nodes, what the operator has written, and the ledger.
+
+    A node is steady when the last fault on it, its links or its access to the store ended some time
+    ago; bounds in seconds are checked on steady nodes only.
+    """
 
     def __init__(self, *, options: Options, nursery: trio.Nursery) -> None:
         self.options = options
@@ -77,7 +81,7 @@
         self.nursery.start_soon(self.store.expire_leases)
         for service in (*SHARD_SETS[0], *SHARD_SETS[1], PLAIN):
             for domain in DOMAINS:
-                await self._add_leaf(service, domain)
+                await self.add_leaf(service, domain)
         self.write_config()
         for number in range(self.options.nodes):
             node = NodeProcess(
@@ -91,13 +95,14 @@
             node.start()
         self.nursery.start_soon(self.keep_running)
 
-    async def _add_leaf(self, service: str, domain: str) -> None:
+    async def add_leaf(self, service: str, domain: str, version: str = "v1") -> LeafServer:
+        """Start a leaf behind a link of its own."""
         number = len(self.leaves)
         host = f"{self.net}.2"
         link = Link(host=host, port=LINK_PORT + number, target=(host, LEAF_PORT + number))
         await link.listen(self.nursery)
         leaf = LeafServer(
-            name=f"i-{service}-{domain}",
+            name=f"i-{service}-{domain}-{version}",
             service=service,
             domain=domain,
             address=(host, LINK_PORT + number),
@@ -105,11 +110,13 @@
             store=self.store,
             ledger=self.ledger,
             rng=self.rng,
+            version=version,
         )
         await http11.listen(self.nursery, f"{host}:{LEAF_PORT + number}", leaf.server.accept)
         self.nursery.start_soon(leaf.beat)
         self.leaves.append(leaf)
         self.links.append(link)
+        return leaf
 
     def write_config(self) -> None:
         """Write the operator's configuration; a route named after its version tells it apart."""
