--- /dev/null
+++ b/tests/core/edge/doing.py
@@ -0,0 +1,92 @@
+"""What leaves do with a call: a function of the time and a random number."""
+
+from __future__ import annotations
+
+import heapq
+
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import NamedTuple
+
+from cactussaddle_core.fanout import model as fan
+from cactussaddle_core.fleet.model import Load
+
+if TYPE_CHECKING:
+    import random
+
+WORK_S = 0.04
+PROBE_S = 0.007
+
+
+class Doing(NamedTuple):
+    """What a leaf does with one call: its work, or how the call ends after `work_s`."""
+
+    work_s: float
+    ending: fan.CallEnding = fan.CallEnding.ANSWERED
+    load: Load | None = None
+    wrong_leaf: bool = False
+
+
+def usual(now: float, rng: random.Random) -> Doing:
+    return Doing(WORK_S * rng.lognormvariate(0.0, 0.35))
+
+
+def slow(factor: float) -> Any:
+    return lambda now, rng: Doing(factor * usual(now, rng).work_s)
+
+
+def dark(now: float, rng: random.Random) -> Doing | None:
+    return None
+
+
+def pausing(offset_s: float, pause_s: float = 0.3, every_s: float = 7.5) -> Any:
+    """Return a leaf that stands still for a while at regular times."""
+
+    def does(now: float, rng: random.Random) -> Doing:
+        into_s = (now + offset_s) % every_s
+        wait_s = pause_s - into_s if into_s < pause_s else 0.0
+        return Doing(wait_s + usual(now, rng).work_s)
+
+    return does
+
+
+def shedding(share: float) -> Any:
+    def does(now: float, rng: random.Random) -> Doing:
+        if rng.random() < share:
+            return Doing(0.001, fan.CallEnding.REFUSED)
+        return usual(now, rng)
+
+    return does
+
+
+def ending(kind: fan.CallEnding, after_s: float = 0.002) -> Any:
+    return lambda now, rng: Doing(after_s, kind)
+
+
+class QueueingLeaf:
+    """A leaf with slots and a queue, which refuses what finds both full and never stops early."""
+
+    def __init__(self, *, slots: int = 6, queue: int = 24, factor: float = 1.0) -> None:
+        self.factor = factor
+        self._queue = queue
+        self._free_at = [0.0] * slots
+        self._starts: list[float] = []
+
+    def __call__(self, now: float, rng: random.Random) -> Doing:
+        self._starts = [at for at in self._starts if at > now]
+        if len(self._starts) >= self._queue:
+            return Doing(0.001, fan.CallEnding.REFUSED, self._load(now))
+        start = max(now, heapq.heappop(self._free_at))
+        finish = start + self.factor * usual(now, rng).work_s
+        heapq.heappush(self._free_at, finish)
+        if start > now:
+            self._starts.append(start)
+        return Doing(finish - now, load=self._load(now))
+
+    def _load(self, now: float) -> Load:
+        running = sum(1 for at in self._free_at if at > now)
+        return Load(running, len(self._starts), len(self._free_at))
+
+    def probe_factor(self, now: float) -> float:
+        """Return how many times longer than usual a probe takes: it waits like any request."""
+        return self.factor + max(0.0, min(self._free_at) - now) / PROBE_S
--- a/tests/core/edge/test_crashes.py
+++ b/tests/core/edge/test_crashes.py
@@ -10,8 +10,8 @@
 from cactussaddle_core.fleet.model import Standing
 from cactussaddle_core.fleet.probing import Health
 from cactussaddle_core.fleet.probing import ProbeEnd
+from tests.core.edge.doing import Doing
 from tests.core.edge.world import DOMAINS
-from tests.core.edge.world import Doing
 from tests.core.edge.world import World
 from tests.core.edge.world import entry
 from tests.core.edge.world import leaf_name
--- a/tests/core/edge/test_edge.py
+++ b/tests/core/edge/test_edge.py
@@ -10,16 +10,16 @@
 from cactussaddle_core.fanout import model as fan
 from cactussaddle_core.fanout.model import CallEnding
 from cactussaddle_core.spread.model import Member
+from tests.core.edge.doing import Doing
+from tests.core.edge.doing import dark
+from tests.core.edge.doing import ending
+from tests.core.edge.doing import pausing
+from tests.core.edge.doing import shedding
+from tests.core.edge.doing import slow
 from tests.core.edge.world import DOMAINS
-from tests.core.edge.world import Doing
 from tests.core.edge.world import World
-from tests.core.edge.world import dark
-from tests.core.edge.world import ending
 from tests.core.edge.world import entry
 from tests.core.edge.world import leaf_name
-from tests.core.edge.world import pausing
-from tests.core.edge.world import shedding
-from tests.core.edge.world import slow
 
 
 class StoppingTest(unittest.TestCase):
--- a/tests/core/edge/test_load.py
+++ b/tests/core/edge/test_load.py
@@ -5,15 +5,15 @@
 import unittest
 
 from cactussaddle_core.fanout.model import CallEnding
+from tests.core.edge.doing import QueueingLeaf
+from tests.core.edge.doing import dark
+from tests.core.edge.doing import ending
+from tests.core.edge.doing import pausing
+from tests.core.edge.doing import shedding
+from tests.core.edge.doing import slow
 from tests.core.edge.world import DOMAINS
-from tests.core.edge.world import QueueingLeaf
 from tests.core.edge.world import World
-from tests.core.edge.world import dark
-from tests.core.edge.world import ending
 from tests.core.edge.world import leaf_name
-from tests.core.edge.world import pausing
-from tests.core.edge.world import shedding
-from tests.core.edge.world import slow
 
 SHARDS = [f"s{number}" for number in range(10)]
 
--- a/tests/core/edge/test_rolling.py
+++ b/tests/core/edge/test_rolling.py
@@ -14,9 +14,9 @@
 from cactussaddle_core.rollouts.model import RolloutOrder
 from cactussaddle_core.rollouts.model import RolloutStatus
 from cactussaddle_core.rollouts.model import ShareTold
+from tests.core.edge.doing import ending
 from tests.core.edge.world import DOMAINS
 from tests.core.edge.world import World
-from tests.core.edge.world import ending
 from tests.core.edge.world import entry
 
 ORDER = RolloutOrder("orders", "v2", 12.0, 40)
--- a/tests/core/edge/world.py
+++ b/tests/core/edge/world.py
@@ -20,7 +20,6 @@
 from cactussaddle_core.edge.state import EdgeState
 from cactussaddle_core.fanout import model as fan
 from cactussaddle_core.fleet.model import LeafEntry
-from cactussaddle_core.fleet.model import Load
 from cactussaddle_core.fleet.probing import Health
 from cactussaddle_core.fleet.probing import ProbeEnd
 from cactussaddle_core.limits.budget import BudgetRules
@@ -30,25 +29,16 @@
 from cactussaddle_core.routing.model import Target
 from cactussaddle_core.routing.table import RoutingTable
 from cactussaddle_core.spread.model import Member
+from tests.core.edge.doing import PROBE_S
+from tests.core.edge.doing import usual
 
 DOMAINS = ("north", "south", "west")
 HOME = "north"
 FAR_TRIP_S = 0.04
 NEAR_TRIP_S = 0.0003
-WORK_S = 0.04
-PROBE_S = 0.007
 ALL = BudgetRules(ratio=0.2, allowance=56.0, window_s=10.0)
 
 
-class Doing(NamedTuple):
-    """What a leaf does with one call: its work, or how the call ends after `work_s`."""
-
-    work_s: float
-    ending: fan.CallEnding = fan.CallEnding.ANSWERED
-    load: Load | None = None
-    wrong_leaf: bool = False
-
-
 class Done(NamedTuple):
     """An answer as the caller got it."""
 
@@ -287,68 +277,3 @@
         work_s = PROBE_S * factor
         health = Health(ProbeEnd.ANSWERED, leaf.name, True, None, work_s)
         self.later(2.0 * self._trip_s(leaf) + work_s, ev.ProbeEnded(leaf.name, health))
-
-
-def usual(now: float, rng: random.Random) -> Doing:
-    return Doing(WORK_S * rng.lognormvariate(0.0, 0.35))
-
-
-def slow(factor: float) -> Any:
-    return lambda now, rng: Doing(factor * usual(now, rng).work_s)
-
-
-def dark(now: float, rng: random.Random) -> Doing | None:
-    return None
-
-
-def pausing(offset_s: float, pause_s: float = 0.3, every_s: float = 7.5) -> Any:
-    """Return a leaf that stands still for a while at regular times."""
-
-    def does(now: float, rng: random.Random) -> Doing:
-        into_s = (now + offset_s) % every_s
-        wait_s = pause_s - into_s if into_s < pause_s else 0.0
-        return Doing(wait_s + usual(now, rng).work_s)
-
-    return does
-
-
-def shedding(share: float) -> Any:
-    def does(now: float, rng: random.Random) -> Doing:
-        if rng.random() < share:
-            return Doing(0.001, fan.CallEnding.REFUSED)
-        return usual(now, rng)
-
-    return does
-
-
-def ending(kind: fan.CallEnding, after_s: float = 0.002) -> Any:
-    return lambda now, rng: Doing(after_s, kind)
-
-
-class QueueingLeaf:
-    """A leaf with slots and a queue, which refuses what finds both full and never stops early."""
-
-    def __init__(self, *, slots: int = 6, queue: int = 24, factor: float = 1.0) -> None:
-        self.factor = factor
-        self._queue = queue
-        self._free_at = [0.0] * slots
-        self._starts: list[float] = []
-
-    def __call__(self, now: float, rng: random.Random) -> Doing:
-        self._starts = [at for at in self._starts if at > now]
-        if len(self._starts) >= self._queue:
-            return Doing(0.001, fan.CallEnding.REFUSED, self._load(now))
-        start = max(now, heapq.heappop(self._free_at))
-        finish = start + self.factor * usual(now, rng).work_s
-        heapq.heappush(self._free_at, finish)
-        if start > now:
-            self._starts.append(start)
-        return Doing(finish - now, load=self._load(now))
-
-    def _load(self, now: float) -> Load:
-        running = sum(1 for at in self._free_at if at > now)
-        return Load(running, len(self._starts), len(self._free_at))
-
-    def probe_factor(self, now: float) -> float:
-        """Return how many times longer than usual a probe takes: it waits like any request."""
-        return self.factor + max(0.0, min(self._free_at) - now) / PROBE_S
--- a/tests/core/fanout/test_promises.py
+++ b/tests/core/fanout/test_promises.py
@@ -11,9 +11,9 @@
 from cactussaddle_core.fanout.promises import require_not_run
 from cactussaddle_core.routing.model import ServiceSpec
 from cactussaddle_core.routing.table import RoutingTable
+from tests.core.edge.doing import dark
 from tests.core.edge.world import DOMAINS
 from tests.core.edge.world import World
-from tests.core.edge.world import dark
 from tests.core.edge.world import entry
 from tests.core.edge.world import leaf_name
 
--- a/tests/core/fanout/test_reduce.py
+++ b/tests/core/fanout/test_reduce.py
@@ -6,11 +6,11 @@
 from cactussaddle_core.fanout import model as fan
 from cactussaddle_core.fanout.model import CallEnding
 from cactussaddle_core.fleet.model import Standing
+from tests.core.edge.doing import Doing
+from tests.core.edge.doing import dark
+from tests.core.edge.doing import ending
 from tests.core.edge.world import DOMAINS
-from tests.core.edge.world import Doing
 from tests.core.edge.world import World
-from tests.core.edge.world import dark
-from tests.core.edge.world import ending
 from tests.core.edge.world import entry
 from tests.core.edge.world import gather_route
 from tests.core.edge.world import leaf_name
