Readers that the store refuses ask nodes of their domain; the store is asked again each second

Cause: the store turned away just the three nodes that read it for their regions, for 9 s. Each had only the other two to ask, equally stale, and a source that fails is left alone for up to 8 s, the store too: version 11 was in force at 18.1 s there, 6.5 s after the store served them. Ruled out: a watch that hangs, an entry taken away (no such lines). Now a reader asks nodes of its own domain after the store, one whose entry was taken away as well, and the store is barred for 1 s at most. Tests: test_a_reader_that_the_store_refuses_asks_nodes_of_its_domain_before_other_readers (seen failing first), test_a_node_whose_entry_was_taken_away_has_others_to_ask, test_a_reader_that_the_store_refuses_follows_other_nodes.

--- a/packages/cactussaddle-core/src/cactussaddle_core/spread/choice.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/spread/choice.py
@@ -12,6 +12,8 @@
 STORE = "store"
 FIRST_BAR_S = 1.0
 MAX_BAR_S = 8.0
+# Changes have to be in force within seconds of the store's return, and few nodes come to ask it.
+MAX_STORE_BAR_S = 1.0
 # What a source hands on is stale when the store has not confirmed it for this long.
 STALE_S = 2.5
 
@@ -51,7 +53,8 @@
         name = source_name(member)
         bar_s = self._bars.get(name, FIRST_BAR_S)
         self._barred_until[name] = now + bar_s
-        self._bars[name] = min(MAX_BAR_S, 2.0 * bar_s)
+        most_s = MAX_STORE_BAR_S if member is None else MAX_BAR_S
+        self._bars[name] = min(most_s, 2.0 * bar_s)
 
     def answered(self, member: Member | None) -> None:
         """Take in a fresh answer of a source."""
--- a/packages/cactussaddle-core/src/cactussaddle_core/spread/tree.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/spread/tree.py
@@ -3,7 +3,8 @@
 The members of a failure domain stand in an order drawn by hashing. The first is the domain's root,
 the others follow one before them, a few followers each. Of the roots of a region the first reads
 the store and the others follow it. Nodes only follow nodes before them, so there are no circles as
-long as they know the same members; where they don't, the age of what is handed on shows it.
+long as they know the same members. Where they don't, and where a reader that the store refuses asks
+nodes that may follow it, the age of what is handed on shows it.
 """
 
 from __future__ import annotations
@@ -39,19 +40,21 @@
 ) -> Place:
     """Return the place of a node among the members."""
     by_name = {member.node: member for member in members}
-    if node not in by_name:
-        return Place((), 0)
     order = _order(domain, by_name.values())
-    index = order.index(node)
     roots = _roots(by_name.values(), region_of)
     region = region_of.get(domain, domain)
     others = [root for other, root in sorted(roots.items()) if other != region]
+    if node not in by_name:
+        near = order[:MAX_FALLBACKS]
+        return Place(tuple(by_name[name] for name in [*near, *others]), 0)
+    index = order.index(node)
     if index > 0:
         before = _before(order, index)
         return Place(tuple(by_name[name] for name in [*before, *others]), len(before))
     reader = roots[region]
     before = [reader] if reader != node else []
-    return Place(tuple(by_name[name] for name in [*before, *others]), len(before))
+    after = order[1 : 1 + MAX_FALLBACKS]
+    return Place(tuple(by_name[name] for name in [*before, *after, *others]), len(before))
 
 
 def _before(order: list[str], index: int) -> list[str]:
--- a/tests/core/spread/test_spread.py
+++ b/tests/core/spread/test_spread.py
@@ -58,9 +58,25 @@
         ]
         self.assertLessEqual(len(across), len(REGIONS))
 
+    def test_a_reader_that_the_store_refuses_asks_nodes_of_its_domain_before_other_readers(self):
+        nodes = members(60)
+        domains = {member.node: member.domain for member in nodes}
+        for name, place in self.places(nodes).items():
+            if place.store_at == 0:
+                near = [m.node for m in place.follow if m.domain == domains[name]]
+                self.assertEqual(len(near), 2)
+                self.assertEqual(near, [m.node for m in place.follow[:2]])
+                self.assertNotIn(name, near)
+
     def test_a_node_that_is_not_registered_yet_reads_the_store(self):
         self.assertEqual(place_of("new", "a1", members(5), REGIONS).store_at, 0)
 
+    def test_a_node_whose_entry_was_taken_away_has_others_to_ask(self):
+        nodes = members(60)
+        place = place_of("refused", "a1", nodes, REGIONS)
+        self.assertEqual([m.domain for m in place.follow[:2]], ["a1", "a1"])
+        self.assertGreater(len(place.follow), 2)
+
     def test_when_a_member_goes_few_others_change_their_place(self):
         nodes = members(100)
         before = self.places(nodes)
--- a/tests/node/edge/test_follow.py
+++ b/tests/node/edge/test_follow.py
@@ -72,11 +72,12 @@
         self.store = store
         self.silent: set[str] = set()
         self.age_s = 0.0
+        self.delay_s = 0.05
         self.asked: list[str] = []
 
     async def changes(self, member: Member, after: int):
         self.asked.append(member.node)
-        await trio.sleep(0.05)
+        await trio.sleep(self.delay_s)
         if member.node in self.silent:
             await trio.sleep(1.0)
             return OUT
@@ -212,6 +213,35 @@
 
         self.follow(body, self.place())
 
+    def test_a_reader_is_fresh_soon_after_the_store_serves_it_again(self):
+        """Found by a hunt: refused for 9 s with all readers, one was 5 s late afterwards."""
+        for out_s in (0.5 * step for step in range(6, 40)):
+            with self.subTest(out_s=out_s):
+                self.setUp()
+
+                async def body(follower, out_s=out_s):
+                    self.peers.age_s = 9.0
+                    self.peers.delay_s = 0.7
+                    self.store.out = True
+                    await trio.sleep(out_s)
+                    self.store.out = False
+                    self.store.write("b", b"1")
+                    await trio.sleep(3.0)
+                    self.assertIn("b", self.keys())
+
+                self.follow(body, self.place()._replace(store_at=0))
+
+    def test_a_reader_that_the_store_refuses_follows_other_nodes(self):
+        async def body(follower):
+            self.store.out = True
+            await trio.sleep(3.0)
+            self.store.write("b", b"1")
+            await trio.sleep(2.0)
+            self.assertIn("b", self.keys())
+            self.assertLess(follower.age_s(trio.current_time()), 2.5)
+
+        self.follow(body, self.place()._replace(store_at=0))
+
     def test_what_is_stale_at_the_parents_is_asked_of_the_store(self):
         async def body(follower):
             self.peers.age_s = 9.0
