Answers and requests without end are bounded by their framing, body and shared memory

Cause: the parser keeps an unfinished header line, reason phrase, chunk extension or trailer to itself and adds to it in pieces, so what was handed back was bounded and what was held was not; one object was kept for each piece of a body; calls had no bound on their bodies together. A gathered part may have 64 KiB (or 256 bytes a record), a health answer 64 KiB, and the unfinished bodies of all leaves 32 MiB together; bodies up to 256 KiB always go on. Ruled out: the connection's time limits, which end a call only at its query's deadline.

--- a/packages/cactussaddle-common/src/cactussaddle_common/http/channel.py
+++ b/packages/cactussaddle-common/src/cactussaddle_common/http/channel.py
@@ -13,12 +13,14 @@
 import trio
 
 from cactussaddle_common.http.outbox import Outbox
+from cactussaddle_common.http.response import MAX_BODY_BYTES
 from cactussaddle_common.http.response import BadResponseError
 from cactussaddle_common.http.response import ResponseReader
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from cactussaddle_common.http.bounds import BodyAllowance
     from cactussaddle_common.http.message import Response
 
 READ_BYTES = 65_536
@@ -58,10 +60,11 @@
     """One request and what is to be told of it.
 
     `accept` looks at a response and says whether it is the one asked for; others on the connection
-    are dropped. `left` hears that the request is on its way, `ended` of its end.
+    are dropped. `left` hears that the request is on its way, `ended` of its end. A response may have
+    at most `max_body_bytes` of body.
     """
 
-    __slots__ = ("accept", "data", "ended", "left")
+    __slots__ = ("accept", "data", "ended", "left", "max_body_bytes")
 
     def __init__(
         self,
@@ -70,8 +73,10 @@
         left: Callable[[], None],
         accept: Callable[[Response], bool],
         ended: Callable[[ExchangeEnd], None],
+        max_body_bytes: int = MAX_BODY_BYTES,
     ) -> None:
         self.data = data
+        self.max_body_bytes = max_body_bytes
         self.left = left
         self.accept = accept
         self.ended = ended
@@ -100,6 +105,7 @@
         connected: Callable[[Channel, float], None],
         idle: Callable[[Channel], None],
         closed: Callable[[Channel], None],
+        allowance: BodyAllowance | None = None,
     ) -> None:
         self.address = address
         self.open = False
@@ -120,7 +126,7 @@
         self._sock.setblocking(False)
         _watch_peer(self._sock)
         self._outbox = Outbox(sock=self._sock, nursery=nursery, failed=self._write_failed)
-        self._reader = ResponseReader()
+        self._reader = ResponseReader(allowance=allowance)
 
     @property
     def ended(self) -> bool:
@@ -132,6 +138,7 @@
         assert self.exchange is None
         self.exchange = exchange
         self.linger_until = None
+        self._reader.max_body_bytes = exchange.max_body_bytes
         if self.open:
             self._idle_before_s = trio.current_time() - self.idle_since
             self._send(exchange)
@@ -267,6 +274,7 @@
         self._ended = True
         self.open = False
         self._outbox.discard()
+        self._reader.forget()
         trio.lowlevel.notify_closing(self._sock)
         self._sock.close()
         self._scope.cancel()
--- a/packages/cactussaddle-common/src/cactussaddle_common/http/fetch.py
+++ b/packages/cactussaddle-common/src/cactussaddle_common/http/fetch.py
@@ -9,6 +9,7 @@
 from cactussaddle_common.http.channel import Exchange
 from cactussaddle_common.http.channel import ExchangeEnd
 from cactussaddle_common.http.channel import Loss
+from cactussaddle_common.http.response import MAX_BODY_BYTES
 
 if TYPE_CHECKING:
     from cactussaddle_common.http.message import Response
@@ -17,7 +18,9 @@
 NO_ROOM = ExchangeEnd(None, Loss.NOT_CONNECTED, "no connection allowed", False, 0.0)
 
 
-async def fetch(pool: Pool, data: bytes, timeout_s: float) -> ExchangeEnd:
+async def fetch(
+    pool: Pool, data: bytes, timeout_s: float, *, max_body_bytes: int = MAX_BODY_BYTES
+) -> ExchangeEnd:
     """Send a request and wait for how it ends; after `timeout_s` its connection is closed."""
     ends: list[ExchangeEnd] = []
     done = trio.Event()
@@ -26,7 +29,9 @@
         ends.append(end)
         done.set()
 
-    exchange = Exchange(data=data, left=_ignore, accept=_accept, ended=ended)
+    exchange = Exchange(
+        data=data, left=_ignore, accept=_accept, ended=ended, max_body_bytes=max_body_bytes
+    )
     ticket = pool.start(exchange)
     if ticket is None:
         return NO_ROOM
--- a/packages/cactussaddle-common/src/cactussaddle_common/http/pool.py
+++ b/packages/cactussaddle-common/src/cactussaddle_common/http/pool.py
@@ -15,6 +15,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from cactussaddle_common.http.bounds import BodyAllowance
     from cactussaddle_common.http.channel import Address
     from cactussaddle_common.http.channel import Exchange
 
@@ -28,11 +29,15 @@
 
 
 class PoolSettings(NamedTuple):
-    """`most` connections are kept at once; `opened` hears how long each took to open."""
+    """`most` connections are kept at once; `opened` hears how long each took to open.
+
+    `allowance` bounds the unfinished bodies of all pools that share it.
+    """
 
     most: int
     connect_timeout_s: float
     opened: Callable[[float], None]
+    allowance: BodyAllowance | None = None
 
 
 class Ticket:
@@ -163,6 +168,7 @@
             connected=self._connected,
             idle=self._fell_idle,
             closed=self._channel_closed,
+            allowance=self._settings.allowance,
         )
         self.channels.add(channel)
         self._nursery.start_soon(channel.run)
--- a/packages/cactussaddle-common/src/cactussaddle_common/http/requestreader.py
+++ b/packages/cactussaddle-common/src/cactussaddle_common/http/requestreader.py
@@ -9,6 +9,7 @@
 
 import httptools
 
+from cactussaddle_common.http.bounds import MessageSize
 from cactussaddle_common.http.message import RequestHead
 
 if TYPE_CHECKING:
@@ -55,10 +56,16 @@
         self._parser = httptools.HttpRequestParser(self)
         self._reset()
 
+    @property
+    def received(self) -> int:
+        """Bytes of the request under way."""
+        return self._size.raw
+
     def feed(self, data: bytes) -> None:
         """Take in bytes; raise `RequestFaultError` when they can't be served."""
         finished = len(self.requests)
         self.begun = True
+        self._size.raw += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as exc:
@@ -72,6 +79,8 @@
             self._unparsed += len(data)
             if self._unparsed > self.limits.max_header_bytes:
                 raise RequestFaultError(Fault.HEADERS_TOO_LARGE, "headers too large")
+        if self._size.frames_too_much(self.limits.max_header_bytes):
+            raise RequestFaultError(Fault.MALFORMED, "no end of the framing")
 
     def on_message_begin(self) -> None:
         """Begin a request (called by the parser)."""
@@ -97,16 +106,16 @@
 
     def on_body(self, data: bytes) -> None:
         """Take in a piece of the body (called by the parser)."""
-        self._body_bytes += len(data)
-        if self._body_bytes > self.limits.max_body_bytes:
+        self._size.body += len(data)
+        if self._size.body > self.limits.max_body_bytes:
             raise RequestFaultError(Fault.BODY_TOO_LARGE, "body too large")
-        self._body.append(data)
+        self._body += data
 
     def on_message_complete(self) -> None:
         """Keep the whole request (called by the parser)."""
         head = RequestHead(self._parser.get_method(), self._target, tuple(self._headers))
         keep_alive = self._parser.should_keep_alive()
-        self.requests.append(IncomingRequest(head, b"".join(self._body), keep_alive))
+        self.requests.append(IncomingRequest(head, bytes(self._body), keep_alive))
         self._reset()
 
     def _reset(self) -> None:
@@ -117,5 +126,5 @@
         self._target = b""
         self._headers: list[tuple[bytes, bytes]] = []
         self._header_bytes = 0
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = bytearray()
+        self._size = MessageSize()
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/leafcaller.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/leafcaller.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from cactussaddle_common.http.bounds import BodyAllowance
 from cactussaddle_common.http.channel import Address
 from cactussaddle_common.http.channel import Exchange
 from cactussaddle_common.http.channel import Loss
@@ -28,8 +29,18 @@
     from cactussaddle_core.edge.effects import Connections
     from cactussaddle_core.fanout.state import Call
     from cactussaddle_core.fleet.leaf import Leaf
+    from cactussaddle_core.routing.model import Route
     from cactussaddle_node.edge.wire import LeafWire
 
+MIB = 1024 * 1024
+# Unfinished answers of all leaves together; the smallest hosts have 200 MB.
+MAX_HELD_BYTES = 32 * MIB
+ALWAYS_HELD_BYTES = MIB // 4
+MAX_REPLY_BYTES = 16 * MIB
+# A part is about the records that are asked for; a leaf may send more than that.
+LEAST_PART_BYTES = 64 * 1024
+PART_BYTES_PER_RECORD = 256
+MAX_HEALTH_BYTES = 64 * 1024
 CONNECT_TIMEOUT_S = 1.0
 PROBE_TIMEOUT_S = 0.8
 NO_ANSWER = Health(end=ProbeEnd.SILENT, leaf="", healthy=False, cold_left_s=None, work_s=0.0)
@@ -53,6 +64,7 @@
         self._pools: dict[str, Pool] = {}
         self._leaving: list[Pool] = []
         self._tickets: dict[int, tuple[Pool, Ticket]] = {}
+        self._allowance = BodyAllowance(most_bytes=MAX_HELD_BYTES, always_bytes=ALWAYS_HELD_BYTES)
 
     def keep(self, leaves: tuple[Connections, ...]) -> None:
         """Keep pools of exactly these leaves."""
@@ -76,6 +88,7 @@
             left=functools.partial(self._feed, ev.CallLeft(call.call_id)),
             accept=functools.partial(self._wire.is_answer_to, query.request),
             ended=functools.partial(self._call_ended, call),
+            max_body_bytes=_most_bytes(query.route),
         )
         pool = self._pool(call.leaf)
         ticket = pool.start(exchange, fresh=not query.route.idempotent)
@@ -108,7 +121,8 @@
     def _pool(self, leaf: Leaf) -> Pool:
         pool = self._pools.get(leaf.name)
         if pool is None:
-            settings = PoolSettings(1, CONNECT_TIMEOUT_S, functools.partial(self._opened, leaf))
+            opened = functools.partial(self._opened, leaf)
+            settings = PoolSettings(1, CONNECT_TIMEOUT_S, opened, self._allowance)
             pool = self._pools[leaf.name] = Pool(
                 address=self._address(leaf), nursery=self._nursery, settings=settings
             )
@@ -138,7 +152,8 @@
         async with trio.open_nursery() as nursery:
             settings = PoolSettings(1, CONNECT_TIMEOUT_S, trips.append)
             pool = Pool(address=self._address(leaf), nursery=nursery, settings=settings)
-            end = await fetch(pool, self._wire.encode_probe(leaf, health_path), PROBE_TIMEOUT_S)
+            data = self._wire.encode_probe(leaf, health_path)
+            end = await fetch(pool, data, PROBE_TIMEOUT_S, max_body_bytes=MAX_HEALTH_BYTES)
             if end.response is not None:
                 took_s = trio.current_time() - started
                 health = self._wire.decode_health(end.response, took_s - 2.0 * sum(trips))
@@ -148,6 +163,13 @@
         self._feed(ev.ProbeEnded(leaf.name, health))
 
 
+def _most_bytes(route: Route) -> int:
+    """Return how long a leaf's answer on a route may be."""
+    if not route.shards:
+        return MAX_REPLY_BYTES
+    return max(LEAST_PART_BYTES, PART_BYTES_PER_RECORD * route.top)
+
+
 def _ending(loss: Loss | None) -> CallEnding:
     if loss is Loss.NOT_CONNECTED:
         return CallEnding.NOT_SENT
--- a/tests/common/http/test_channel.py
+++ b/tests/common/http/test_channel.py
@@ -53,6 +53,44 @@
             await stream.send_all(reply())
 
 
+def endless(start: bytes, rest: bytes):
+    """Return a server that answers with bytes without end, until the connection is closed."""
+
+    async def handler(stream):
+        async with stream:
+            await read_request(stream)
+            try:
+                await stream.send_all(start)
+                while True:
+                    await stream.send_all(rest)
+            except trio.BrokenResourceError:
+                return
+
+    return handler
+
+
+class EndlessPeerTest(unittest.TestCase):
+    def test_an_answer_without_end_ends_its_connection_soon(self):
+        chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        cases = {
+            "header": (b"HTTP/1.1 200 OK\r\nX: ", b"a" * 65_536),
+            "interim": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 100),
+            "chunks": (chunked, b"400\r\n" + b"a" * 1024 + b"\r\n"),
+            "body": (b"HTTP/1.1 200 OK\r\n\r\n", b"a" * 65_536),
+        }
+        for name, (start, rest) in cases.items():
+
+            async def body(pool, name=name):
+                began = trio.current_time()
+                end = await fetch(pool, REQUEST, 5.0, max_body_bytes=100_000)
+                with self.subTest(name):
+                    self.assertIs(end.loss, Loss.NONSENSE)
+                    self.assertLess(trio.current_time() - began, 1.0)
+                    self.assertEqual(len(pool.channels), 0)
+
+            run(endless(start, rest), body)
+
+
 class PoolTest(unittest.TestCase):
     def test_a_connection_is_used_again(self):
         async def body(pool):
