A stop loses no answer and no request that has come; slow requests have an end

And each tick of a stop closed connections that serve nothing, also with an answer that the kernel had not taken yet: those bytes were dropped. Now the end is refused while a caller has sent anything, read, unread or in the backlog, or has not been sent its whole answer; connections are shut for writing and closed when the caller has read; what comes after the end is read and not passed on; 0.4 s at most for the last answers. A request had the header time anew for each piece, and a body the idle time: a byte a second held a connection without end. Both now have one end: the header time, and for the body the idle time and a second for each KiB. Test changed: idle connections 'closed on request' is now seen by the caller's end of file and the end of the connection, in place of the listener's own count.

--- a/packages/cactussaddle-common/src/cactussaddle_common/http/requestreader.py
+++ b/packages/cactussaddle-common/src/cactussaddle_common/http/requestreader.py
@@ -50,6 +50,7 @@
     def __init__(self, *, limits: CallerLimits) -> None:
         self.limits = limits
         self.requests: list[IncomingRequest] = []
+        self.finished = 0
         self.begun = False
         self.head_done = False
         self.expects_continue = False
@@ -63,7 +64,7 @@
 
     def feed(self, data: bytes) -> None:
         """Take in bytes; raise `RequestFaultError` when they can't be served."""
-        finished = len(self.requests)
+        finished = self.finished
         self.begun = True
         self._size.raw += len(data)
         try:
@@ -75,7 +76,7 @@
             if isinstance(cause, RequestFaultError):
                 raise cause from None
             raise RequestFaultError(Fault.MALFORMED, str(exc)) from exc
-        if self.begun and not self.head_done and len(self.requests) == finished:
+        if self.begun and not self.head_done and self.finished == finished:
             self._unparsed += len(data)
             if self._unparsed > self.limits.max_header_bytes:
                 raise RequestFaultError(Fault.HEADERS_TOO_LARGE, "headers too large")
@@ -116,6 +117,7 @@
         head = RequestHead(self._parser.get_method(), self._target, tuple(self._headers))
         keep_alive = self._parser.should_keep_alive()
         self.requests.append(IncomingRequest(head, bytes(self._body), keep_alive))
+        self.finished += 1
         self._reset()
 
     def _reset(self) -> None:
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/effects.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/effects.py
@@ -82,7 +82,9 @@
 
 
 class EndProcess(NamedTuple):
-    """End the process."""
+    """End the process; unless `forced`, not before what callers have sent by now is answered."""
+
+    forced: bool
 
 
 Effect: TypeAlias = (
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/reduce.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/reduce.py
@@ -331,7 +331,7 @@
     requests = len(state.fanout.queries)
     if not effects and state.stopping.may_end(requests, now):
         require(requests == 0, Promise.GRACEFUL_STOP, f"the stop cuts {requests} requests")
-        return [EndProcess()]
+        return [CloseIdle(), EndProcess(state.stopping.time_over(now))]
     return [*effects, CloseIdle()]
 
 
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/stopping.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/stopping.py
@@ -38,4 +38,8 @@
 
     def may_end(self, requests: int, now: float) -> bool:
         """Return whether the process may end: nothing is in hand, or the time is over."""
-        return self.closing(now) and (requests == 0 or now >= self.end_at)
+        return self.closing(now) and (requests == 0 or self.time_over(now))
+
+    def time_over(self, now: float) -> bool:
+        """Return whether the process has to end whatever is in hand."""
+        return now >= self.end_at
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/caller.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/caller.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+import select
 import socket
 
 from collections import deque
@@ -29,6 +31,8 @@
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # Requests sent ahead of the answers before the connection is read no further.
 MAX_AHEAD = 16
+# A request whose body comes in more slowly than this is refused, once the idle time is over.
+LEAST_BODY_BYTES_PER_S = 1024.0
 
 
 class CallerHooks(NamedTuple):
@@ -59,6 +63,7 @@
         self._waiting: deque[IncomingRequest] = deque()
         self._serving: int | None = None
         self._keep_alive = True
+        self._request_began_at = math.inf
         self._last_request = False
         self._finishing = False
         self._ended = False
@@ -66,8 +71,17 @@
 
     @property
     def idle(self) -> bool:
-        """Whether no request is being read or served."""
-        return self._serving is None and not self._waiting and not self._reader.begun
+        """Whether no request is being read or served, and no answer is on its way out."""
+        busy = self._serving is not None or self._waiting or self._reader.begun
+        return not busy and not self._outbox.pending
+
+    def has_unread(self) -> bool:
+        """Return whether bytes or the end of the caller wait to be read."""
+        if self._ended or self._last_request:
+            return False
+        poll = select.poll()
+        poll.register(self._sock, select.POLLIN)
+        return bool(poll.poll(0))
 
     async def serve(self) -> None:
         """Read requests until the connection ends."""
@@ -93,6 +107,11 @@
         else:
             self._finish()
 
+    def finish(self) -> None:
+        """Take no further request; the connection ends when the caller has read its answers."""
+        if not self._ended:
+            self._finish()
+
     def close(self) -> None:
         """Close the connection; a request being served is dropped."""
         if self._ended:
@@ -108,7 +127,7 @@
             self._hooks.gone(serving)
 
     async def _read_some(self) -> None:
-        with trio.move_on_after(self._read_timeout_s()) as scope:
+        with trio.move_on_at(self._read_until(trio.current_time())) as scope:
             await self._wait_readable()
         if self._ended:
             return
@@ -133,22 +152,33 @@
         except trio.ClosedResourceError:
             self._ended = True
 
-    def _read_timeout_s(self) -> float:
+    def _read_until(self, now: float) -> float:
+        """Return until when to wait for more bytes."""
         limits = self._hooks.limits()
-        if self._reader.begun and not self._reader.head_done:
-            return limits.header_timeout_s
+        if self._reader.begun and not self._last_request:
+            head_by = self._request_began_at + limits.header_timeout_s
+            if not self._reader.head_done:
+                return head_by
+            body_s = limits.idle_timeout_s + self._reader.received / LEAST_BODY_BYTES_PER_S
+            return head_by + body_s
         if self._serving is not None:
-            return float("inf")
-        return limits.idle_timeout_s
+            return math.inf
+        return now + limits.idle_timeout_s
 
     def _read_timed_out(self) -> None:
-        if self._reader.begun and self._serving is None:
-            self._refuse(REQUEST_TIMEOUT, "the request took too long to arrive")
+        if self._reader.begun and not self._last_request:
+            if self._serving is None:
+                self._refuse(REQUEST_TIMEOUT, "the request took too long to arrive")
+            else:
+                self._last_request = True
         elif self._serving is None:
             self.close()
 
     def _take(self, data: bytes) -> None:
         self._reader.limits = self._hooks.limits()
+        finished = self._reader.finished
+        if not self._reader.begun:
+            self._request_began_at = trio.current_time()
         try:
             self._reader.feed(data)
         except RequestFaultError as exc:
@@ -157,6 +187,8 @@
             else:
                 self._last_request = True
             return
+        if self._reader.finished > finished:
+            self._request_began_at = trio.current_time()
         if self._reader.expects_continue and self._reader.head_done:
             self._reader.expects_continue = False
             self._outbox.write(CONTINUE)
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/daemon.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/daemon.py
@@ -76,6 +76,8 @@
 # What is kept of the caller's time for the way back when a leaf is told its deadline.
 LEAF_DEADLINE_SPARE_S = 0.005
 SWEEP_EVERY_S = 0.1
+# Unread answers are lost when the process ends.
+LAST_ANSWERS_S = 0.4
 LOAD_METRICS_AFTER_S = 5.0
 
 
@@ -250,7 +252,7 @@
 
     def _close_idle(self, effect: fx.CloseIdle) -> None:
         if self._listener is not None:
-            self._listener.close_idle()
+            self._listener.finish_idle()
 
     def _set_place(self, effect: fx.SetPlace) -> None:
         if self.place_changed is not None:
@@ -273,7 +275,14 @@
         self.log.write(failed, trio.current_time())
 
     def _end_process(self, effect: fx.EndProcess) -> None:
-        self.stopped.set()
+        if self._listener is None or self._listener.end(forced=effect.forced):
+            self.stopped.set()
+
+    async def answers_read(self) -> None:
+        """Wait until callers have read their last answers, for a short time at most."""
+        if self._listener is not None:
+            with trio.move_on_after(LAST_ANSWERS_S):
+                await self._listener.all_ended()
 
 
 _EFFECT_HANDLERS: dict[type[Any], Any] = {
@@ -372,6 +381,7 @@
         nursery.start_soon(_load_metrics, daemon)
         nursery.start_soon(_watch_signals, daemon, reloader)
         await daemon.stopped.wait()
+        await daemon.answers_read()
         daemon.note(fx.Note(log.Stopped(len(daemon.state.fanout.queries))))
         daemon.log.flush(trio.current_time())
         nursery.cancel_scope.cancel()
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/listener.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/listener.py
@@ -20,6 +20,7 @@
 
 # Pause after descriptors have run out.
 FULL_WAIT_S = 0.05
+ENDING_LOOK_S = 0.01
 OUT_OF_DESCRIPTORS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
 
 
@@ -54,22 +55,38 @@
         while True:
             try:
                 await trio.lowlevel.wait_readable(self._sock)
-                sock, _ = self._sock.accept()
+                self._serve(self._sock.accept()[0])
             except trio.ClosedResourceError:
                 return
             except BlockingIOError:
                 continue
             except OSError as exc:
+                # A caller that has gone before it was accepted leaves nothing to serve.
                 if exc.errno in OUT_OF_DESCRIPTORS:
                     await trio.sleep(FULL_WAIT_S)
-                continue
-            self._serve(sock)
 
-    def close_idle(self) -> None:
-        """Close the connections on which nothing is under way."""
+    def finish_idle(self) -> None:
+        """Take no further request on the connections on which nothing is under way."""
+        for connection in list(self.connections):
+            if connection.idle and not connection.has_unread():
+                connection.finish()
+
+    def end(self, *, forced: bool) -> bool:
+        """Take no connection and no request any more; return whether it is so.
+
+        Unless `forced`, callers that have sent something, read here or not, are served first.
+        """
+        if not forced and (self._accept_waiting() or any(map(_is_busy, self.connections))):
+            return False
+        self.stop()
         for connection in list(self.connections):
-            if connection.idle:
-                connection.close()
+            connection.finish()
+        return True
+
+    async def all_ended(self) -> None:
+        """Wait until callers have read their answers and closed."""
+        while self.connections:
+            await trio.sleep(ENDING_LOOK_S)
 
     def stop(self) -> None:
         """Accept no more; connections go on."""
@@ -77,9 +94,24 @@
             trio.lowlevel.notify_closing(self._sock)
             self._sock.close()
 
+    def _accept_waiting(self) -> bool:
+        """Accept the connections that wait for it; return whether there were any."""
+        count = 0
+        while self._sock.fileno() >= 0:
+            try:
+                self._serve(self._sock.accept()[0])
+            except OSError:
+                break
+            count += 1
+        return count > 0
+
     def _serve(self, sock: socket.socket) -> None:
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection = CallerConnection(sock=sock, nursery=self._nursery, hooks=self._hooks)
         self.connections.add(connection)
         self._nursery.start_soon(connection.serve)
+
+
+def _is_busy(connection: CallerConnection) -> bool:
+    return not connection.idle or connection.has_unread()
--- a/tests/node/edge/test_caller.py
+++ b/tests/node/edge/test_caller.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import socket
 import unittest
 
 import trio
@@ -7,6 +8,7 @@
 from cactussaddle_common.http.message import Answer
 from cactussaddle_core.routing.model import CallerLimits
 from cactussaddle_node.early import listen
+from cactussaddle_node.edge.caller import CallerConnection
 from cactussaddle_node.edge.caller import CallerHooks
 from cactussaddle_node.edge.listener import Listener
 
@@ -21,8 +23,9 @@
     def __init__(self, *, at_once: bool = True) -> None:
         self.at_once = at_once
         self.stopping = False
-        self.arrived: list[tuple[int, object, object]] = []
+        self.arrived: list[tuple[int, CallerConnection, object]] = []
         self.gone: list[int] = []
+        self.port = 0
         self._next = 0
 
     def hooks(self, listener) -> CallerHooks:
@@ -44,6 +47,10 @@
         if self.at_once:
             connection.answer(number, Answer(200, (), request.head.target))
 
+    def answer(self, index: int, body: bytes) -> None:
+        number, connection, _ = self.arrived[index]
+        connection.answer(number, Answer(200, (), body))
+
 
 class CallerConnectionTest(unittest.TestCase):
     def run_node(self, body, *, at_once: bool = True):
@@ -51,7 +58,7 @@
             node = Node(at_once=at_once)
             async with trio.open_nursery() as nursery:
                 sock = listen("127.0.0.1", 0)
-                port = sock.getsockname()[1]
+                port = node.port = sock.getsockname()[1]
                 listener = Listener(sock=sock, nursery=nursery, hooks=node.hooks)
                 nursery.start_soon(listener.accept)
                 with listener:
@@ -132,15 +139,107 @@
         async def body(node, listener, stream):
             await stream.send_all(b"GET /a HTTP/1.1\r\n\r\n")
             await wait_for(lambda: node.arrived)
-            listener.close_idle()
-            self.assertEqual(len(listener.connections), 1)
-            node.arrived[0][1].answer(node.arrived[0][0], Answer(200, (), b"x"))
-            listener.close_idle()
-            self.assertEqual(len(listener.connections), 0)
+            listener.finish_idle()
+            node.answer(0, b"x")
+            listener.finish_idle()
+            self.assertTrue((await read_until(stream, b"x")).endswith(b"x"))
+            self.assertEqual(await stream.receive_some(), b"")
+            await stream.aclose()
+            await wait_for(lambda: not listener.connections)
+
+        self.run_node(body, at_once=False)
+
+    def test_an_answer_that_a_slow_caller_has_not_read_outlives_a_stop(self):
+        async def body(node, listener, stream):
+            await stream.send_all(b"GET /a HTTP/1.1\r\n\r\n")
+            await wait_for(lambda: node.arrived)
+            node.answer(0, b"z" * 6_000_000)
+            listener.finish_idle()
+            self.assertFalse(listener.end(forced=False))
+            total = 0
+            while total < 6_000_000:
+                piece = await stream.receive_some(50_000)
+                self.assertNotEqual(piece, b"")
+                total += len(piece)
+            await wait_for(lambda: listener.end(forced=False))
+            self.assertEqual(await stream.receive_some(), b"")
+
+        self.run_node(body, at_once=False)
+
+    def test_an_end_waits_for_requests_that_have_come_and_are_not_read(self):
+        async def body(node, listener, stream):
+            await stream.send_all(b"GET /a HTTP/1.1\r\n\r\n")
+            await wait_for(lambda: node.arrived)
+            node.answer(0, b"x")
             await read_until(stream, b"x")
+            others = [await trio.open_tcp_stream("127.0.0.1", node.port) for _ in range(3)]
+            await wait_for(lambda: len(listener.connections) == 4)
+            send_now(stream, b"GET /b HTTP/1.1\r\n\r\n")
+            send_now(others[0], b"GET /c HT")
+            self.assertFalse(listener.end(forced=False))
+            listener.finish_idle()
+            await others[0].send_all(b"TP/1.1\r\n\r\n")
+            await wait_for(lambda: len(node.arrived) == 3)
+            self.assertFalse(listener.end(forced=False))
+            for index in (1, 2):
+                node.answer(index, b"x")
+            for caller in (stream, others[0]):
+                self.assertIn(b"x", await read_until(caller, b"x"))
+            self.assertTrue(listener.end(forced=False))
+            for caller in (stream, *others):
+                self.assertEqual(await caller.receive_some(), b"")
+                await caller.aclose()
+
+        self.run_node(body, at_once=False)
+
+    def test_an_end_waits_for_connections_in_the_backlog(self):
+        async def body(node, listener, stream):
+            await wait_for(lambda: listener.connections)
+            late = socket.create_connection(("127.0.0.1", node.port))
+            late.sendall(b"GET /late HTTP/1.1\r\n\r\n")
+            self.assertFalse(listener.end(forced=False))
+            await wait_for(lambda: node.arrived)
+            node.answer(0, b"x")
+            self.assertIn(b"x", late.recv(1000))
+            self.assertTrue(listener.end(forced=False))
+            late.close()
 
         self.run_node(body, at_once=False)
 
+    def test_what_comes_after_the_end_is_not_passed_on(self):
+        async def body(node, listener, stream):
+            await wait_for(lambda: listener.connections)
+            self.assertTrue(listener.end(forced=False))
+            await stream.send_all(b"GET /a HTTP/1.1\r\n\r\n")
+            self.assertEqual(await stream.receive_some(), b"")
+            await trio.sleep(0.05)
+            self.assertEqual(node.arrived, [])
+
+        self.run_node(body)
+
+    def test_headers_a_byte_at_a_time_are_told_to_be_late(self):
+        async def body(node, listener, stream):
+            began = trio.current_time()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(drip, stream, b"GET /a HTTP/1.1\r\nX: ")
+                self.assertIn(b" 408 ", await read_until(stream, b"\r\n\r\n"))
+                nursery.cancel_scope.cancel()
+            self.assertLess(trio.current_time() - began, 0.4)
+
+        self.run_node(body)
+
+    def test_a_body_a_byte_at_a_time_is_told_to_be_late(self):
+        async def body(node, listener, stream):
+            began = trio.current_time()
+            await stream.send_all(b"POST /a HTTP/1.1\r\nContent-Length: 90\r\n\r\n")
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(drip, stream, b"")
+                self.assertIn(b" 408 ", await read_until(stream, b"\r\n\r\n"))
+                nursery.cancel_scope.cancel()
+            self.assertLess(trio.current_time() - began, 1.0)
+
+        self.run_node(body)
+
     def test_a_large_answer_reaches_a_slow_reader_whole(self):
         async def body(node, listener, stream):
             await stream.send_all(b"GET /a HTTP/1.1\r\nConnection: close\r\n\r\n")
@@ -154,6 +253,22 @@
         self.run_node(body, at_once=False)
 
 
+def send_now(stream, data: bytes) -> None:
+    """Send without letting any other task run."""
+    stream.socket._sock.send(data)
+
+
+async def drip(stream, start: bytes) -> None:
+    """Send a byte at a time, 20 a second."""
+    try:
+        await stream.send_all(start)
+        while True:
+            await trio.sleep(0.05)
+            await stream.send_all(b"a")
+    except (trio.BrokenResourceError, trio.ClosedResourceError):
+        return
+
+
 async def read_until(stream, end: bytes) -> bytes:
     data = b""
     while end not in data:
