An unexpected error in a task costs what the task was doing, not the process

Only the reducer's events were guarded: an exception in a connection to a caller, in reading an answer, in a probe, or in the follower, registration, timers or settings ended the whole process. Tasks now run under a guard that logs the error with its place, counts it, and lets lasting tasks begin anew; a connection or an exchange with an error ends alone.

--- a/packages/cactussaddle-common/src/cactussaddle_common/http/channel.py
+++ b/packages/cactussaddle-common/src/cactussaddle_common/http/channel.py
@@ -157,7 +157,13 @@
         self._end(Loss.CANCELLED, "")
 
     async def run(self) -> None:
-        """Open the connection and serve it until it ends."""
+        """Open the connection and serve it until it ends; an unexpected error ends it."""
+        try:
+            await self._serve()
+        except Exception as exc:
+            self._end(Loss.NONSENSE, f"unexpected error: {exc!r}")
+
+    async def _serve(self) -> None:
         with self._scope:
             started = trio.current_time()
             failure = await self._connect()
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/caller.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/caller.py
@@ -85,10 +85,12 @@
 
     async def serve(self) -> None:
         """Read requests until the connection ends."""
-        with self._scope:
-            while not self._ended:
-                await self._read_some()
-        self.close()
+        try:
+            with self._scope:
+                while not self._ended:
+                    await self._read_some()
+        finally:
+            self.close()
 
     def answer(self, number: int, answer: Answer) -> None:
         """Send the answer to the request `number`, then take on the next one."""
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/daemon.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/daemon.py
@@ -2,10 +2,7 @@
 
 from __future__ import annotations
 
-import os
 import random
-import signal
-import traceback
 
 from collections import Counter
 from collections import deque
@@ -26,43 +23,22 @@
 from cactussaddle_core.edge.state import EdgeState
 from cactussaddle_core.fanout import model as fan
 from cactussaddle_core.fanout.trace import request_ended
-from cactussaddle_core.invariants import set_handler
 from cactussaddle_core.limits.budget import BudgetRules
 from cactussaddle_core.limits.cold import ColdRules
 from cactussaddle_core.rollouts.model import RecordRollout
 from cactussaddle_core.routing.model import DEFAULT_CALLER_LIMITS
-from cactussaddle_node.early import SIGNALS
-from cactussaddle_node.early import listen
-from cactussaddle_node.early import release_signals
 from cactussaddle_node.edge.caller import CallerHooks
 from cactussaddle_node.edge.datagrams import Datagrams
-from cactussaddle_node.edge.dump import dump
 from cactussaddle_node.edge.eventlog import EventLog
-from cactussaddle_node.edge.follow import Follower
+from cactussaddle_node.edge.guard import Guard
 from cactussaddle_node.edge.leafcaller import LeafCaller
-from cactussaddle_node.edge.listener import Listener
 from cactussaddle_node.edge.metrics import Metrics
-from cactussaddle_node.edge.pages import Pages
-from cactussaddle_node.edge.pages import PageSources
-from cactussaddle_node.edge.peerwire import PeerClient
-from cactussaddle_node.edge.peerwire import PeerServer
-from cactussaddle_node.edge.register import RegisterHooks
-from cactussaddle_node.edge.register import register
-from cactussaddle_node.edge.reload import Reloader
 from cactussaddle_platform import callers
 from cactussaddle_platform import leaves
-from cactussaddle_platform import registry
-from cactussaddle_platform.kv import KvStore
-from cactussaddle_platform.names import READY_PATH
-from cactussaddle_platform.registry import NodeEntry
-from cactussaddle_platform.registry import RolloutRecords
-from cactussaddle_platform.registry import StoreFeed
 
 if TYPE_CHECKING:
-    import socket
 
     from collections.abc import Callable
-    from pathlib import Path
 
     from cactussaddle_common.http.message import Answer
     from cactussaddle_common.http.requestreader import IncomingRequest
@@ -71,6 +47,8 @@
     from cactussaddle_core.routing.model import CallerLimits
     from cactussaddle_core.spread.tree import Place
     from cactussaddle_node.edge.caller import CallerConnection
+    from cactussaddle_node.edge.listener import Listener
+    from cactussaddle_platform.registry import RolloutRecords
     from cactussaddle_platform.settings import HostSettings
 
 # What is kept of the caller's time for the way back when a leaf is told its deadline.
@@ -78,7 +56,6 @@
 SWEEP_EVERY_S = 0.1
 # Unread answers are lost when the process ends.
 LAST_ANSWERS_S = 0.4
-LOAD_METRICS_AFTER_S = 5.0
 
 
 class EdgeDaemon:
@@ -89,11 +66,12 @@
         self.log = EventLog(node=cfg.node)
         self.state = EdgeState(
             me=EdgeIdentity(cfg.node, cfg.domain, cfg.region_of),
-            rules=_rules(cfg),
+            rules=rules_of(cfg),
             seed=random.SystemRandom().getrandbits(32),
         )
+        self.guard = Guard(report=self._unexpected)
         self.leaf_caller = LeafCaller(
-            nursery=nursery, wire=leaves, local_host=cfg.ip, feed=self.feed
+            nursery=nursery, wire=leaves, local_host=cfg.ip, feed=self.feed, guard=self.guard
         )
         self.place_changed: Callable[[Place], None] | None = None
         self.rollout_records: RolloutRecords | None = None
@@ -129,10 +107,11 @@
             for effect in reduce(self.state, event, trio.current_time()):
                 _EFFECT_HANDLERS[type(effect)](self, effect)
         except Exception as exc:
-            where = "".join(traceback.format_tb(exc.__traceback__)[-2:])
-            error = log.UnexpectedError(type(event).__name__, repr(exc), where)
-            self.log.write(error, trio.current_time())
-            self.metrics.count("cactussaddle_errors_total", {"event": error.event})
+            self.guard.failed(type(event).__name__, exc)
+
+    def _unexpected(self, task: str, error: str, place: str) -> None:
+        self.log.write(log.UnexpectedError(task, error, place), trio.current_time())
+        self.metrics.count("cactussaddle_errors_total", {"event": task})
 
     async def run_timers(self) -> None:
         """Feed a tick whenever one is due, and write the log."""
@@ -259,7 +238,7 @@
             self.place_changed(effect.place)
 
     def _record_rollout(self, effect: RecordRollout) -> None:
-        self._nursery.start_soon(self._write_status, effect)
+        self._nursery.start_soon(self.guard.once, "roll-out status", self._write_status, effect)
 
     async def _write_status(self, effect: RecordRollout) -> None:
         if self.rollout_records is None:
@@ -305,98 +284,10 @@
 }
 
 
-def _rules(cfg: HostSettings) -> EdgeRules:
+def rules_of(cfg: HostSettings) -> EdgeRules:
+    """Return the bounds that the settings state."""
     bounds = cfg.bounds
     return EdgeRules(
         budget=BudgetRules(bounds.retry_ratio, bounds.retry_allowance, bounds.retry_window_s),
         cold=ColdRules(bounds.cold_over, bounds.cold_slack),
     )
-
-
-async def serve(
-    cfg: HostSettings, path: Path, metrics_port: int, callers_sock: socket.socket | None
-) -> None:
-    """Run a node until it is asked to stop and its work in hand has finished.
-
-    `callers_sock` listens for callers already, if given.
-    """
-    async with trio.open_nursery() as nursery:
-        daemon = EdgeDaemon(cfg=cfg, nursery=nursery)
-        set_handler(daemon.breach)
-        limits = cfg.limits
-        daemon.note(
-            fx.Note(log.Started(cfg.domain, cfg.ip, os.getpid(), limits.cores, limits.memory_mb))
-        )
-        store = KvStore(address=cfg.store.address._replace(local_host=cfg.ip), nursery=nursery)
-        daemon.rollout_records = RolloutRecords(store=store)
-        follower = Follower(
-            store=StoreFeed(store=store),
-            peers=PeerClient(nursery=nursery, local_host=cfg.ip),
-            decoder=registry,
-            feed=daemon.feed,
-        )
-        sources = PageSources(
-            ready=daemon.state.is_ready,
-            dump=lambda: dump(daemon.state, follower, trio.current_time()),
-            metrics=lambda: daemon.metrics.render(
-                daemon.gauges(follower.age_s(trio.current_time()), store.calls)
-            ),
-        )
-        pages = Pages(ready_path=READY_PATH, sources=sources)
-        reloader = Reloader(
-            path=path,
-            cfg=cfg,
-            rules_of=_rules,
-            feed=daemon.feed,
-            note=lambda event: daemon.note(fx.Note(event)),
-        )
-        daemon.place_changed = follower.choice.set_place
-        peer_server = PeerServer(follower=follower, nursery=nursery)
-        callers_sock = callers_sock or listen(*cfg.callers[:2])
-        listeners = [
-            Listener(sock=callers_sock, nursery=nursery, hooks=daemon.hooks),
-            Listener(sock=listen(*cfg.readiness[:2]), nursery=nursery, hooks=pages.hooks),
-            Listener(sock=listen(cfg.ip, cfg.peer_port), nursery=nursery, hooks=peer_server.hooks),
-            Listener(sock=listen(cfg.ip, metrics_port), nursery=nursery, hooks=pages.hooks),
-        ]
-        if cfg.admin is not None:
-            admin_sock = listen(*cfg.admin[:2])
-            listeners.append(Listener(sock=admin_sock, nursery=nursery, hooks=pages.hooks))
-        for listener in listeners:
-            nursery.start_soon(listener.accept)
-        nursery.start_soon(daemon.run_timers)
-        nursery.start_soon(daemon.datagrams.listen)
-        nursery.start_soon(follower.run)
-        nursery.start_soon(
-            register,
-            NodeEntry(store=store, cfg=cfg),
-            RegisterHooks(
-                note=daemon.note,
-                answered=follower.confirm,
-                unanswered=follower.interrupt,
-                reads_store=lambda: follower.choice.reads_store,
-            ),
-        )
-        nursery.start_soon(reloader.run)
-        nursery.start_soon(_load_metrics, daemon)
-        nursery.start_soon(_watch_signals, daemon, reloader)
-        await daemon.stopped.wait()
-        await daemon.answers_read()
-        daemon.note(fx.Note(log.Stopped(len(daemon.state.fanout.queries))))
-        daemon.log.flush(trio.current_time())
-        nursery.cancel_scope.cancel()
-
-
-async def _load_metrics(daemon: EdgeDaemon) -> None:
-    await trio.sleep(LOAD_METRICS_AFTER_S)
-    daemon.metrics.load()
-
-
-async def _watch_signals(daemon: EdgeDaemon, reloader: Reloader) -> None:
-    with trio.open_signal_receiver(*SIGNALS) as signals:
-        release_signals()
-        async for number in signals:
-            if number == signal.SIGHUP:
-                reloader.reload()
-            else:
-                daemon.feed(ev.StopAsked(daemon.cfg.bounds.shutdown_grace_s))
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/leafcaller.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/leafcaller.py
@@ -30,6 +30,7 @@
     from cactussaddle_core.fanout.state import Call
     from cactussaddle_core.fleet.leaf import Leaf
     from cactussaddle_core.routing.model import Route
+    from cactussaddle_node.edge.guard import Guard
     from cactussaddle_node.edge.wire import LeafWire
 
 MIB = 1024 * 1024
@@ -56,8 +57,10 @@
         wire: LeafWire,
         local_host: str,
         feed: Callable[[ev.Event], None],
+        guard: Guard,
     ) -> None:
         self._nursery = nursery
+        self._guard = guard
         self._wire = wire
         self._local_host = local_host
         self._feed = feed
@@ -110,7 +113,7 @@
 
     def probe(self, leaf: Leaf, health_path: str) -> None:
         """Ask a leaf for its health over a new connection."""
-        self._nursery.start_soon(self._probe, leaf, health_path)
+        self._nursery.start_soon(self._guard.once, "probe", self._probe, leaf, health_path)
 
     def sweep(self, now: float) -> None:
         """Close connections that are idle or awaited for too long."""
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/listener.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/listener.py
@@ -17,6 +17,7 @@
     from typing import Self
 
     from cactussaddle_node.edge.caller import CallerHooks
+    from cactussaddle_node.edge.guard import Guard
 
 # Pause after descriptors have run out.
 FULL_WAIT_S = 0.05
@@ -32,10 +33,12 @@
         *,
         sock: socket.socket,
         nursery: trio.Nursery,
+        guard: Guard,
         hooks: Callable[[Listener], CallerHooks],
     ) -> None:
         self.connections: set[CallerConnection] = set()
         self._nursery = nursery
+        self._guard = guard
         self._hooks = hooks(self)
         self._sock = sock
 
@@ -110,7 +113,7 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection = CallerConnection(sock=sock, nursery=self._nursery, hooks=self._hooks)
         self.connections.add(connection)
-        self._nursery.start_soon(connection.serve)
+        self._nursery.start_soon(self._guard.once, "connection", connection.serve)
 
 
 def _is_busy(connection: CallerConnection) -> bool:
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/main.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/main.py
@@ -10,7 +10,7 @@
 
 import trio
 
-from cactussaddle_node.edge.daemon import serve
+from cactussaddle_node.edge.serve import serve
 from cactussaddle_platform.settings import SettingsError
 from cactussaddle_platform.settings import read_settings
 
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/peerwire.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/peerwire.py
@@ -30,6 +30,7 @@
     from cactussaddle_core.spread.model import Member
     from cactussaddle_node.edge.caller import CallerConnection
     from cactussaddle_node.edge.follow import Follower
+    from cactussaddle_node.edge.guard import Guard
     from cactussaddle_node.edge.listener import Listener
 
 PATH = b"/records"
@@ -87,8 +88,9 @@
 class PeerServer:
     """Answers other nodes; one that knows everything waits for news for a short time."""
 
-    def __init__(self, *, follower: Follower, nursery: trio.Nursery) -> None:
+    def __init__(self, *, follower: Follower, nursery: trio.Nursery, guard: Guard) -> None:
         self._follower = follower
+        self._guard = guard
         self._nursery = nursery
         self._next_id = 0
 
@@ -115,7 +117,8 @@
         elif not self._follower.log.revision:
             connection.answer(number, Answer(503, (), b"nothing known yet"))
         else:
-            self._nursery.start_soon(self._answer, number, connection, int(after))
+            task = (self._answer, number, connection, int(after))
+            self._nursery.start_soon(self._guard.once, "answer to a node", *task)
 
     async def _answer(self, number: int, connection: CallerConnection, after: int) -> None:
         if self._follower.log.revision <= after:
--- /dev/null
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/serve.py
@@ -0,0 +1,133 @@
+"""Starts the parts of a node on the users' platform and runs them until it is asked to stop."""
+
+from __future__ import annotations
+
+import os
+import signal
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from cactussaddle_core.edge import effects as fx
+from cactussaddle_core.edge import events as ev
+from cactussaddle_core.edge import logevents as log
+from cactussaddle_core.invariants import set_handler
+from cactussaddle_node.early import SIGNALS
+from cactussaddle_node.early import listen
+from cactussaddle_node.early import release_signals
+from cactussaddle_node.edge.daemon import EdgeDaemon
+from cactussaddle_node.edge.daemon import rules_of
+from cactussaddle_node.edge.dump import dump
+from cactussaddle_node.edge.follow import Follower
+from cactussaddle_node.edge.listener import Listener
+from cactussaddle_node.edge.pages import Pages
+from cactussaddle_node.edge.pages import PageSources
+from cactussaddle_node.edge.peerwire import PeerClient
+from cactussaddle_node.edge.peerwire import PeerServer
+from cactussaddle_node.edge.register import RegisterHooks
+from cactussaddle_node.edge.register import register
+from cactussaddle_node.edge.reload import Reloader
+from cactussaddle_platform import registry
+from cactussaddle_platform.kv import KvStore
+from cactussaddle_platform.names import READY_PATH
+from cactussaddle_platform.registry import NodeEntry
+from cactussaddle_platform.registry import RolloutRecords
+from cactussaddle_platform.registry import StoreFeed
+
+if TYPE_CHECKING:
+    import socket
+
+    from pathlib import Path
+
+    from cactussaddle_platform.settings import HostSettings
+
+LOAD_METRICS_AFTER_S = 5.0
+
+
+async def serve(
+    cfg: HostSettings, path: Path, metrics_port: int, callers_sock: socket.socket | None
+) -> None:
+    """Run a node until it is asked to stop and its work in hand has finished.
+
+    `callers_sock` listens for callers already, if given.
+    """
+    async with trio.open_nursery() as nursery:
+        daemon = EdgeDaemon(cfg=cfg, nursery=nursery)
+        guard = daemon.guard
+        set_handler(daemon.breach)
+        limits = cfg.limits
+        daemon.note(
+            fx.Note(log.Started(cfg.domain, cfg.ip, os.getpid(), limits.cores, limits.memory_mb))
+        )
+        store = KvStore(address=cfg.store.address._replace(local_host=cfg.ip), nursery=nursery)
+        daemon.rollout_records = RolloutRecords(store=store)
+        follower = Follower(
+            store=StoreFeed(store=store),
+            peers=PeerClient(nursery=nursery, local_host=cfg.ip),
+            decoder=registry,
+            feed=daemon.feed,
+        )
+        sources = PageSources(
+            ready=daemon.state.is_ready,
+            dump=lambda: dump(daemon.state, follower, trio.current_time()),
+            metrics=lambda: daemon.metrics.render(
+                daemon.gauges(follower.age_s(trio.current_time()), store.calls)
+            ),
+        )
+        pages = Pages(ready_path=READY_PATH, sources=sources)
+        reloader = Reloader(
+            path=path,
+            cfg=cfg,
+            rules_of=rules_of,
+            feed=daemon.feed,
+            note=lambda event: daemon.note(fx.Note(event)),
+        )
+        daemon.place_changed = follower.choice.set_place
+        peer_server = PeerServer(follower=follower, nursery=nursery, guard=guard)
+        callers_sock = callers_sock or listen(*cfg.callers[:2])
+        socks = [
+            (callers_sock, daemon.hooks),
+            (listen(*cfg.readiness[:2]), pages.hooks),
+            (listen(cfg.ip, cfg.peer_port), peer_server.hooks),
+            (listen(cfg.ip, metrics_port), pages.hooks),
+        ]
+        if cfg.admin is not None:
+            socks.append((listen(*cfg.admin[:2]), pages.hooks))
+        for sock, hooks in socks:
+            listener = Listener(sock=sock, nursery=nursery, guard=guard, hooks=hooks)
+            nursery.start_soon(guard.lasting, "listener", listener.accept)
+        nursery.start_soon(guard.lasting, "timers", daemon.run_timers)
+        nursery.start_soon(guard.lasting, "datagrams", daemon.datagrams.listen)
+        nursery.start_soon(guard.lasting, "follower", follower.run)
+        registration = RegisterHooks(
+            note=daemon.note,
+            answered=follower.confirm,
+            unanswered=follower.interrupt,
+            reads_store=lambda: follower.choice.reads_store,
+        )
+        entry = NodeEntry(store=store, cfg=cfg)
+        nursery.start_soon(guard.lasting, "registration", register, entry, registration)
+        nursery.start_soon(guard.lasting, "settings", reloader.run)
+        nursery.start_soon(guard.once, "metrics", _load_metrics, daemon)
+        nursery.start_soon(guard.lasting, "signals", _watch_signals, daemon, reloader)
+        await daemon.stopped.wait()
+        await daemon.answers_read()
+        daemon.note(fx.Note(log.Stopped(len(daemon.state.fanout.queries))))
+        daemon.log.flush(trio.current_time())
+        nursery.cancel_scope.cancel()
+
+
+async def _load_metrics(daemon: EdgeDaemon) -> None:
+    await trio.sleep(LOAD_METRICS_AFTER_S)
+    daemon.metrics.load()
+
+
+async def _watch_signals(daemon: EdgeDaemon, reloader: Reloader) -> None:
+    with trio.open_signal_receiver(*SIGNALS) as signals:
+        release_signals()
+        async for number in signals:
+            if number == signal.SIGHUP:
+                reloader.reload()
+            else:
+                daemon.feed(ev.StopAsked(daemon.cfg.bounds.shutdown_grace_s))
--- a/tests/common/http/test_channel.py
+++ b/tests/common/http/test_channel.py
@@ -69,6 +69,25 @@
     return handler
 
 
+class UnexpectedErrorTest(unittest.TestCase):
+    def test_it_ends_its_exchange_alone(self):
+        async def body(pool):
+            ends: list[Any] = []
+
+            def accept(response):
+                raise RuntimeError("a fault of the program")
+
+            exchange = Exchange(data=REQUEST, left=lambda: None, accept=accept, ended=ends.append)
+            pool.start(exchange)
+            while not ends:
+                await trio.sleep(0.005)
+            self.assertIs(ends[0].loss, Loss.NONSENSE)
+            self.assertIn("a fault of the program", ends[0].detail)
+            self.assertEqual(body_of(await fetch(pool, REQUEST, 1.0)), b"ok")
+
+        run(answers, body)
+
+
 class EndlessPeerTest(unittest.TestCase):
     def test_an_answer_without_end_ends_its_connection_soon(self):
         chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/tests/node/edge/test_caller.py
+++ b/tests/node/edge/test_caller.py
@@ -10,6 +10,7 @@
 from cactussaddle_node.early import listen
 from cactussaddle_node.edge.caller import CallerConnection
 from cactussaddle_node.edge.caller import CallerHooks
+from cactussaddle_node.edge.guard import Guard
 from cactussaddle_node.edge.listener import Listener
 
 LIMITS = CallerLimits(
@@ -26,6 +27,7 @@
         self.arrived: list[tuple[int, CallerConnection, object]] = []
         self.gone: list[int] = []
         self.port = 0
+        self.errors: list[tuple[str, str, str]] = []
         self._next = 0
 
     def hooks(self, listener) -> CallerHooks:
@@ -44,9 +46,14 @@
 
     def take(self, number, connection, request) -> None:
         self.arrived.append((number, connection, request))
+        if request.head.target == b"/bad":
+            raise RuntimeError("a fault of the program")
         if self.at_once:
             connection.answer(number, Answer(200, (), request.head.target))
 
+    def report(self, task: str, error: str, place: str) -> None:
+        self.errors.append((task, error, place))
+
     def answer(self, index: int, body: bytes) -> None:
         number, connection, _ = self.arrived[index]
         connection.answer(number, Answer(200, (), body))
@@ -59,7 +66,9 @@
             async with trio.open_nursery() as nursery:
                 sock = listen("127.0.0.1", 0)
                 port = node.port = sock.getsockname()[1]
-                listener = Listener(sock=sock, nursery=nursery, hooks=node.hooks)
+                listener = Listener(
+                    sock=sock, nursery=nursery, guard=Guard(report=node.report), hooks=node.hooks
+                )
                 nursery.start_soon(listener.accept)
                 with listener:
                     async with await trio.open_tcp_stream("127.0.0.1", port) as stream:
@@ -217,6 +226,18 @@
 
         self.run_node(body)
 
+    def test_an_unexpected_error_costs_its_connection_alone(self):
+        async def body(node, listener, stream):
+            async with await trio.open_tcp_stream("127.0.0.1", node.port) as other:
+                await other.send_all(b"GET /bad HTTP/1.1\r\n\r\n")
+                self.assertEqual(await other.receive_some(), b"")
+            await stream.send_all(b"GET /a HTTP/1.1\r\n\r\n")
+            self.assertIn(b"/a", await read_until(stream, b"/a"))
+            self.assertEqual(len(node.errors), 1)
+            self.assertIn("a fault of the program", node.errors[0][1])
+
+        self.run_node(body)
+
     def test_headers_a_byte_at_a_time_are_told_to_be_late(self):
         async def body(node, listener, stream):
             began = trio.current_time()
