--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/logevents.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/logevents.py
@@ -215,6 +215,7 @@
     message: str
     took_ms: float
     objective_ms: float
+    answer_by_ms: float
     parts: int
     answered: int
     needed: int
--- a/packages/cactussaddle-core/src/cactussaddle_core/fanout/finish.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/finish.py
@@ -24,14 +24,16 @@
 
 def finish_if_settled(book: FanoutBook, query: Query, now: float) -> list[FanoutEffect]:
     """Answer a query once it is complete or nothing better can come."""
-    answered = query.answered()
-    if answered == len(query.parts):
+    if not query.unanswered:
         return answer(book, query, now)
-    waiting = sum(1 for part in query.parts if part.reply is None and part.is_waiting())
-    if answered + waiting < query.needed():
+    lacking = query.needed() - query.answered()
+    if lacking <= 0:
+        if now >= query.answer_by or not any(part.is_waiting() for part in query.unanswered):
+            return answer(book, query, now)
+        return []
+    waiting = sum(1 for part in query.unanswered if part.is_waiting())
+    if waiting < lacking:
         return decline(book, query, "no leaf left to ask", now)
-    if answered >= query.needed() and (waiting == 0 or now >= query.answer_by):
-        return answer(book, query, now)
     return []
 
 
--- a/packages/cactussaddle-core/src/cactussaddle_core/fanout/model.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/model.py
@@ -15,6 +15,9 @@
     from cactussaddle_core.fleet.leaf import Leaf
     from cactussaddle_core.fleet.model import Load
 
+# The ways from and to a caller where they can't be measured.
+USUAL_WAY_S = 0.006
+
 Headers: TypeAlias = tuple[tuple[bytes, bytes], ...]
 
 
@@ -22,7 +25,8 @@
     """A caller's whole request.
 
     `request_id` is the caller's own id, `patience_s` how long the caller waits from now on.
-    `fingerprint` is the same for each sending of the same request.
+    `fingerprint` is the same for each sending of the same request. `way_s` is what the ways from
+    and to the caller take, with the opening of the connection where it was opened for the request.
     """
 
     req_id: int
@@ -34,6 +38,7 @@
     body: bytes
     patience_s: float
     fingerprint: str
+    way_s: float = USUAL_WAY_S
 
 
 class CallEnding(enum.StrEnum):
--- a/packages/cactussaddle-core/src/cactussaddle_core/fanout/reduce.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/reduce.py
@@ -30,7 +30,6 @@
 from cactussaddle_core.fanout.sending import send
 from cactussaddle_core.fanout.sending import send_to
 from cactussaddle_core.fanout.state import Choice
-from cactussaddle_core.fanout.state import Part
 from cactussaddle_core.fanout.state import Query
 from cactussaddle_core.fleet.hints import Trouble
 from cactussaddle_core.fleet.leaf import SLOW_RATIO
@@ -43,11 +42,12 @@
     from cactussaddle_core.fanout.model import FanoutEffect
     from cactussaddle_core.fanout.state import Call
     from cactussaddle_core.fanout.state import FanoutBook
+    from cactussaddle_core.fanout.state import Part
     from cactussaddle_core.fleet.leaf import Leaf
     from cactussaddle_core.routing.model import Route
 
-# What an answer takes from this node to the caller, and what the caller's clock may be off.
-ANSWER_SPARE_S = 0.012
+# What an answer takes beyond the way to the caller: its merging, and what the clocks may be off.
+ANSWER_SPARE_S = 0.006
 # A node that is late itself answers earlier, by this part of the objective at most.
 MAX_LAG_PART = 0.25
 # A query ends this long before its caller gives up.
@@ -73,7 +73,8 @@
     arrived_at = now - waited_s
     deadline = arrived_at + min(request.patience_s, route.timeout_s) - DEADLINE_SPARE_S
     lag_s = min(book.own_delay.lag_s(now), MAX_LAG_PART * route.objective_s)
-    answer_by = min(deadline, arrived_at + route.objective_s - ANSWER_SPARE_S - lag_s)
+    spare_s = request.way_s + ANSWER_SPARE_S + lag_s
+    answer_by = min(deadline, arrived_at + route.objective_s - spare_s)
     query = Query(
         request=request,
         route=route,
@@ -82,7 +83,7 @@
         answer_by=answer_by,
         deadline=deadline,
     )
-    query.parts = [Part(query=query, service=service) for service in services]
+    query.ask_services(services)
     for service in services:
         book.budget.request(service, now)
     if deadline <= now:
@@ -115,10 +116,11 @@
     book.own_delay.left(call_id, now)
     if now > call.sent_at:
         book.timings.waited(now - call.sent_at)
+    due = overdue_at(book, call, now)
     if call.call_id in call.leaf.waiting:
-        call.leaf.waiting[call_id] = overdue_at(book, call, now)
+        call.leaf.waiting[call_id] = due
     if not call.abandoned:
-        plan_hedge(book, call, now)
+        plan_hedge(book, call, due)
 
 
 def call_ended(book: FanoutBook, end: CallEnd, now: float) -> list[FanoutEffect]:
@@ -135,9 +137,9 @@
         return []
     part = call.part
     part.open_calls.remove(call)
-    if end.ending is CallEnding.ANSWERED and _is_new(part, end):
-        part.reply = end.reply
-        return end_others(part, now) + finish_if_settled(book, part.query, now)
+    reply = end.reply if end.ending is CallEnding.ANSWERED else None
+    if reply is not None and part.query.take_reply(part, reply):
+        return end_others(part, now) + _answer_if_enough(book, part.query, now)
     if end.ending in NOT_RUN:
         count_back(book, call, now, arrived=end.ending not in NEVER_ARRIVED)
     if end.ending is CallEnding.FAILED:
@@ -168,15 +170,20 @@
     return effects
 
 
+def _answer_if_enough(book: FanoutBook, query: Query, now: float) -> list[FanoutEffect]:
+    """Answer after one more part has come, if that settles it."""
+    if query.answered() < query.needed():
+        return []
+    return finish_if_settled(book, query, now)
+
+
 def _review(book: FanoutBook, query: Query, now: float) -> list[FanoutEffect]:
     if now >= query.deadline:
         if query.answered() >= query.needed():
             return finish_if_settled(book, query, now)
         return decline(book, query, "the time is over", now)
     effects: list[FanoutEffect] = []
-    for part in query.parts:
-        if part.reply is not None:
-            continue
+    for part in list(query.unanswered):
         if now >= part.retry_at:
             effects += _ask_again(book, part, now)
         elif now >= part.hedge_at:
@@ -189,9 +196,8 @@
 
 def _plan_review(book: FanoutBook, query: Query, now: float) -> None:
     due = query.answer_by if now < query.answer_by else query.deadline
-    for part in query.parts:
-        if part.reply is None:
-            due = min(due, part.hedge_at, part.retry_at)
+    for part in query.unanswered:
+        due = min(due, part.hedge_at, part.retry_at)
     book.review_at(query, due)
 
 
@@ -213,7 +219,7 @@
     if not call.left and book.own_delay.is_sending(now):
         part.hedge_at = now + LEAVING_EVERY_S
         return True
-    part.hedge_at = hedge_time(book, call, now)
+    part.hedge_at = hedge_time(book, call, overdue_at(book, call, now))
     return part.hedge_at > now
 
 
@@ -243,17 +249,6 @@
     return []
 
 
-def _is_new(part: Part, end: CallEnd) -> bool:
-    """Return whether an answer is not one that another part has given already."""
-    if not part.query.gathers:
-        return True
-    reply = end.reply
-    others = (other.reply for other in part.query.parts)
-    return reply is not None and all(
-        other is None or other.signature != reply.signature for other in others
-    )
-
-
 def _judge_leaf(book: FanoutBook, call: Call, end: CallEnd, now: float) -> None:
     """Take in what a call's end says of its leaf."""
     leaf = call.leaf
--- a/packages/cactussaddle-core/src/cactussaddle_core/fanout/sending.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/sending.py
@@ -63,12 +63,13 @@
     part.open_calls.append(call)
     book.calls[call.call_id] = call
     book.own_delay.waits(call.call_id)
-    leaf.waiting[call.call_id] = overdue_at(book, call, now)
+    due = overdue_at(book, call, now)
+    leaf.waiting[call.call_id] = due
     if leaf.is_cold(now):
         leaf.cold_meter.sent(now)
     require_may_be_sent(book, call, now)
     part.retry_at = math.inf
-    plan_hedge(book, call, now)
+    plan_hedge(book, call, due)
     return [SendCall(call)]
 
 
@@ -80,16 +81,15 @@
     return call.left_at + book.timings.overdue_s(call.part.query.route, call.leaf, now) + lag_s
 
 
-def plan_hedge(book: FanoutBook, call: Call, now: float) -> None:
-    """Plan when the call's part is sent to one more leaf, unless its answer comes before."""
+def plan_hedge(book: FanoutBook, call: Call, due: float) -> None:
+    """Plan when the part of a call, overdue at `due`, is sent to one more leaf."""
     part = call.part
-    part.hedge_at = hedge_time(book, call, now)
+    part.hedge_at = hedge_time(book, call, due)
     book.review_at(part.query, part.hedge_at)
 
 
-def hedge_time(book: FanoutBook, call: Call, now: float) -> float:
+def hedge_time(book: FanoutBook, call: Call, due: float) -> float:
     """Return when to hedge: once the call is overdue, but while a hedge can still be in time."""
-    due = overdue_at(book, call, now)
     if not call.left:
         return due
     if not can_hedge(call.part):
--- a/packages/cactussaddle-core/src/cactussaddle_core/fanout/state.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/state.py
@@ -14,6 +14,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterable
     from collections.abc import Mapping
 
     from cactussaddle_core.fanout.model import CallEnding
@@ -131,7 +132,8 @@
     """A caller's request under way; times are of this node's steady clock.
 
     `answer_by` is when an incomplete answer is better than a late one, `deadline` when the query
-    ends whatever has come.
+    ends whatever has come. `unanswered` are the parts without an answer, `signatures` those of the
+    answers.
     """
 
     __slots__ = (
@@ -141,8 +143,10 @@
         "request",
         "review_at",
         "route",
+        "signatures",
         "started_at",
         "table_version",
+        "unanswered",
     )
 
     def __init__(
@@ -163,6 +167,22 @@
         self.deadline = deadline
         self.review_at = math.inf
         self.parts: list[Part] = []
+        self.unanswered: list[Part] = []
+        self.signatures: set[str] = set()
+
+    def ask_services(self, services: Iterable[str]) -> None:
+        """Begin with a part for each service."""
+        self.parts = [Part(query=self, service=service) for service in services]
+        self.unanswered = list(self.parts)
+
+    def take_reply(self, part: Part, reply: LeafReply) -> bool:
+        """Keep a part's answer unless another part has given the same one; return whether kept."""
+        if self.gathers and reply.signature in self.signatures:
+            return False
+        self.signatures.add(reply.signature)
+        self.unanswered.remove(part)
+        part.reply = reply
+        return True
 
     @property
     def gathers(self) -> bool:
@@ -171,7 +191,7 @@
 
     def answered(self) -> int:
         """Return how many parts have their answer."""
-        return sum(1 for part in self.parts if part.reply is not None)
+        return len(self.parts) - len(self.unanswered)
 
     def needed(self) -> int:
         """Return how many parts an answer needs at least."""
--- a/packages/cactussaddle-core/src/cactussaddle_core/fanout/trace.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/trace.py
@@ -38,6 +38,7 @@
         message=answer.message if isinstance(answer, Declined) else "",
         took_ms=took_ms,
         objective_ms=objective_ms,
+        answer_by_ms=_ms(query.answer_by - query.started_at),
         parts=len(query.parts),
         answered=answered,
         needed=query.needed(),
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/caller.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/caller.py
@@ -17,6 +17,7 @@
 from cactussaddle_common.http.outbox import Outbox
 from cactussaddle_common.http.requestreader import RequestFaultError
 from cactussaddle_common.http.requestreader import RequestReader
+from cactussaddle_common.http.roundtrip import round_trip_s
 from cactussaddle_core.invariants import Promise
 from cactussaddle_core.invariants import require
 
@@ -62,6 +63,7 @@
         )
         self._waiting: deque[IncomingRequest] = deque()
         self._serving: int | None = None
+        self._served = 0
         self._keep_alive = True
         self._request_began_at = math.inf
         self._last_request = False
@@ -83,6 +85,17 @@
         poll.register(self._sock, select.POLLIN)
         return bool(poll.poll(0))
 
+    def way_s(self) -> float | None:
+        """Return what the ways from and to the caller take for the request being served.
+
+        Opening the connection takes one round trip more for its first request; None where the
+        kernel doesn't tell the round trip.
+        """
+        trip_s = round_trip_s(self._sock)
+        if trip_s is None:
+            return None
+        return trip_s if self._served > 1 else 2.0 * trip_s
+
     async def serve(self) -> None:
         """Read requests until the connection ends."""
         try:
@@ -209,6 +222,7 @@
         request = self._waiting.popleft()
         self._keep_alive = request.keep_alive and not (self._last_request and not self._waiting)
         number = self._serving = self._hooks.next_id()
+        self._served += 1
         self._hooks.arrived(number, self, request)
 
     def _refuse(self, status: int, message: str) -> None:
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/daemon.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/daemon.py
@@ -187,6 +187,9 @@
             )
             return
         self._connections[number] = connection
+        way_s = connection.way_s()
+        if way_s is not None:
+            decoded = decoded._replace(way_s=way_s)
         self.feed(ev.RequestArrived(decoded))
 
     def _gone(self, number: int) -> None:
--- a/tests/core/edge/world.py
+++ b/tests/core/edge/world.py
@@ -109,6 +109,7 @@
         self, *, seed: int = 1, shards: int = 10, nodes: int = 8, rules=ALL, loaded: bool = True
     ) -> None:
         self.now = 100.0
+        self.way_s = fan.USUAL_WAY_S
         self.rng = random.Random(seed)
         region_of = {domain: f"region-{domain}" for domain in DOMAINS}
         self.state = EdgeState(
@@ -186,7 +187,7 @@
         self._started[req_id] = self.now
         fingerprint = fingerprint or f"f{req_id}"
         request = fan.CallerRequest(
-            req_id, f"r{req_id}", b"GET", target, "h", (), body, patience_s, fingerprint
+            req_id, f"r{req_id}", b"GET", target, "h", (), body, patience_s, fingerprint, self.way_s
         )
         self.feed(ev.RequestArrived(request))
         return req_id
--- a/tests/core/fanout/test_reduce.py
+++ b/tests/core/fanout/test_reduce.py
@@ -42,6 +42,21 @@
         self.assertLess(answer.took_s, 0.297)
         self.assertGreater(answer.took_s, 0.27)
 
+    def test_a_caller_far_away_gets_an_incomplete_answer_earlier(self):
+        everywhere(self.world, "s4", dark)
+        self.world.way_s = 0.05
+        answer = self.answer()
+        self.assertEqual((answer.kind, answer.missing), ("merged", 1))
+        self.assertLess(answer.took_s + 0.05, 0.297)
+        self.assertGreater(answer.took_s + 0.05, 0.27)
+
+    def test_a_node_that_is_late_itself_answers_earlier(self):
+        everywhere(self.world, "s4", dark)
+        self.world.feed(ev.Tick(late_s=0.04))
+        answer = self.answer()
+        self.assertEqual((answer.kind, answer.missing), ("merged", 1))
+        self.assertLess(answer.took_s + 0.03, 0.297)
+
     def test_below_the_least_share_the_answer_waits_for_more(self):
         for shard in ("s4", "s5"):
             everywhere(self.world, shard, lambda now, rng: Doing(0.5))
--- a/tests/node/edge/test_caller.py
+++ b/tests/node/edge/test_caller.py
@@ -226,6 +226,21 @@
 
         self.run_node(body)
 
+    def test_the_way_to_the_caller_is_known_from_the_connection(self):
+        async def body(node, listener, stream):
+            ways = []
+            for _ in range(2):
+                await stream.send_all(b"GET /a HTTP/1.1\r\n\r\n")
+                await wait_for(lambda: len(node.arrived) > len(ways))
+                ways.append(node.arrived[-1][1].way_s())
+                node.answer(-1, b"x")
+                await read_until(stream, b"x")
+            for way_s in ways:
+                self.assertGreater(way_s, 0.0)
+                self.assertLess(way_s, 0.1)
+
+        self.run_node(body, at_once=False)
+
     def test_an_unexpected_error_costs_its_connection_alone(self):
         async def body(node, listener, stream):
             async with await trio.open_tcp_stream("127.0.0.1", node.port) as other:
