Fewer probes at first, idle connections by the peer's word, copies without an id refused

Cause: on 195 nodes each node probed each new leaf of its region once (17,000 probes at the start) only to learn its usual time; three nodes a region, drawn by hashing, now do, the others go by the median of leaves of the same size. Leaves say how long they keep an idle connection (10 s on the large deployment); it was not read: 8 s were taken for all. A reply without an id on a connection where replies bear ids, such as the second copy of an answer, was taken for the next request's answer: seen failing, now dropped with its connection.

--- a/packages/cactussaddle-common/src/cactussaddle_common/http/channel.py
+++ b/packages/cactussaddle-common/src/cactussaddle_common/http/channel.py
@@ -30,6 +30,10 @@
 KEEPALIVE_EVERY_S = 1
 KEEPALIVE_PROBES = 2
 UNACKED_TIMEOUT_MS = 3000
+# A request on its way must arrive before the peer closes the idle connection.
+IDLE_MARGIN_S = 0.5
+# A peer that doesn't say how long it keeps an idle connection may drop it after longer.
+UNSTATED_IDLE_S = 8.0
 
 
 class Loss(enum.StrEnum):
@@ -59,8 +63,9 @@
 class Exchange:
     """One request and what is to be told of it.
 
-    `accept` looks at a response and says whether it is the one asked for; others on the connection
-    are dropped. `left` hears that the request is on its way, `ended` of its end. A response may have
+    `accept` looks at a response and says whether it is the one asked for, None where the response
+    doesn't tell; others on the connection are dropped, as are those that don't tell on a connection
+    where one has. `left` hears that the request is on its way, `ended` of its end. A response may have
     at most `max_body_bytes` of body.
     """
 
@@ -71,7 +76,7 @@
         *,
         data: bytes,
         left: Callable[[], None],
-        accept: Callable[[Response], bool],
+        accept: Callable[[Response], bool | None],
         ended: Callable[[ExchangeEnd], None],
         max_body_bytes: int = MAX_BODY_BYTES,
     ) -> None:
@@ -119,6 +124,7 @@
         self._closed = closed
         self._ended = False
         self._tainted = False
+        self._tells = False
         self._served = 0
         self._idle_before_s = 0.0
         self._scope = trio.CancelScope()
@@ -133,6 +139,12 @@
         """Whether the connection is closed or about to be."""
         return self._ended
 
+    @property
+    def idle_until(self) -> float:
+        """Until when the peer keeps the idle connection by its own word, or is taken to."""
+        keeps_s = self._reader.keeps_idle_s
+        return self.idle_since + (UNSTATED_IDLE_S if keeps_s is None else keeps_s - IDLE_MARGIN_S)
+
     def start(self, exchange: Exchange) -> None:
         """Begin an exchange, at once or as soon as the connection is open."""
         assert self.exchange is None
@@ -237,7 +249,7 @@
         exchange = self.exchange
         assert exchange is not None
         for index, response in enumerate(responses):
-            if not exchange.accept(response):
+            if not self._accepts(exchange, response):
                 self._tainted = True
                 continue
             rest = index + 1 < len(responses) or self._reader.started
@@ -256,6 +268,13 @@
         if not self._reader.keep_alive:
             self._end(Loss.CLOSED, "after an answer to another request")
 
+    def _accepts(self, exchange: Exchange, response: Response) -> bool:
+        is_answer = exchange.accept(response)
+        if is_answer is None:
+            return not self._tells
+        self._tells = True
+        return is_answer
+
     def _send(self, exchange: Exchange) -> None:
         exchange.left()
         if not self._ended:
--- a/packages/cactussaddle-common/src/cactussaddle_common/http/pool.py
+++ b/packages/cactussaddle-common/src/cactussaddle_common/http/pool.py
@@ -19,8 +19,8 @@
     from cactussaddle_common.http.channel import Address
     from cactussaddle_common.http.channel import Exchange
 
-# A connection idle for longer is not used again: the peer may have dropped it.
-FIRST_IDLE_LIMIT_S = 8.0
+# A connection idle for longer is not used again, whatever the peer says.
+FIRST_IDLE_LIMIT_S = 30.0
 LEAST_IDLE_LIMIT_S = 0.05
 IDLE_LIMIT_CUT = 0.5
 # Exchanges that wait for a connection at one server; more are better sent elsewhere.
@@ -119,7 +119,7 @@
     def sweep(self, now: float) -> None:
         """Close what has been idle for too long, and calls that nobody waits for any more."""
         for channel in list(self._idle):
-            if now - channel.idle_since > self.idle_limit_s:
+            if self._is_stale(channel, now):
                 channel.close()
         for channel in list(self.channels):
             if channel.linger_until is not None and channel.linger_until <= now:
@@ -177,11 +177,14 @@
     def _take_idle(self, now: float) -> Channel | None:
         while self._idle:
             channel = self._idle.pop()
-            if now - channel.idle_since <= self.idle_limit_s:
+            if not self._is_stale(channel, now):
                 return channel
             channel.close()
         return None
 
+    def _is_stale(self, channel: Channel, now: float) -> bool:
+        return now - channel.idle_since > self.idle_limit_s or now > channel.idle_until
+
     def _close_one_idle(self) -> bool:
         if not self._idle:
             return False
--- a/packages/cactussaddle-common/src/cactussaddle_common/http/response.py
+++ b/packages/cactussaddle-common/src/cactussaddle_common/http/response.py
@@ -12,6 +12,8 @@
 MAX_HEADER_BYTES = 64 * 1024
 MAX_INTERIM_RESPONSES = 16
 FIRST_FINAL_STATUS = 200
+KEEP_ALIVE = b"keep-alive"
+MAX_DIGITS = 9
 
 
 class BadResponseError(ValueError):
@@ -21,6 +23,8 @@
 class ResponseReader:
     """Collects one connection's responses; interim ones are left aside.
 
+    `keeps_idle_s` is how long the peer says to keep the connection idle, None where it doesn't.
+
     A response may have at most `max_body_bytes` of body, and `allowance` bounds the unfinished
     bodies of many connections together. The parser keeps an unfinished header line
     to itself, so what it has been given and has not handed back is bounded here.
@@ -35,6 +39,7 @@
         )
         self.responses: list[Response] = []
         self.keep_alive = True
+        self.keeps_idle_s: float | None = None
         self.started = False
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[tuple[bytes, bytes]] = []
@@ -122,4 +127,16 @@
         self._interim = 0
         self._size.clear()
         self.keep_alive = self._parser.should_keep_alive()
+        self.keeps_idle_s = _keeps_idle_s(self._headers)
         self.responses.append(Response(status, tuple(self._headers), bytes(self._body)))
+
+
+def _keeps_idle_s(headers: list[tuple[bytes, bytes]]) -> float | None:
+    for name, value in headers:
+        if name != KEEP_ALIVE:
+            continue
+        for parameter in value.split(b","):
+            key, _, number = parameter.strip().partition(b"=")
+            if key.lower() == b"timeout" and number.isdigit() and len(number) <= MAX_DIGITS:
+                return float(number)
+    return None
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/state.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/state.py
@@ -13,6 +13,7 @@
 from cactussaddle_core.edge.stopping import Stopping
 from cactussaddle_core.fanout.state import FanoutBook
 from cactussaddle_core.fleet.book import Fleet
+from cactussaddle_core.hashing import unit_interval
 from cactussaddle_core.limits.budget import RetryBudget
 from cactussaddle_core.limits.cold import calls_per_second
 from cactussaddle_core.limits.members import MemberCounts
@@ -30,9 +31,11 @@
 UNKNOWN_MEMBERS = 16
 HOUSEKEEPING_S = 0.1
 WARM_CONNECTIONS = 1
-NEAR_IDLE_S = 8.0
+NEAR_IDLE_S = 30.0
 FAR_IDLE_S = 1.0
 FIRST_PROBE_SPREAD_S = 1.0
+# Nodes of a region that probe a new leaf; the others go by leaves of its size.
+FIRST_PROBERS = 3
 
 
 class EdgeIdentity(NamedTuple):
@@ -61,6 +64,7 @@
         self.fleet = Fleet()
         self.members: dict[str, Member] = {}
         self.member_counts = MemberCounts()
+        self._near_nodes = 1
         self.crashes = CrashWatch(node=me.node, fleet=self.fleet)
         self.waiting = WaitingRoom()
         self.store_up = False
@@ -116,8 +120,8 @@
         return Connections(leaf, max(1, share), 0, FAR_IDLE_S)
 
     def plan_first_probe(self, leaf: Leaf, now: float) -> None:
-        """Have a leaf that this node will call often probed once, to learn its usual time."""
-        if self._is_near(leaf):
+        """Have a leaf nearby probed once by a few nodes, to learn its usual time."""
+        if self._is_near(leaf) and self._is_first_prober(leaf):
             at = now + FIRST_PROBE_SPREAD_S * self.fanout.rng.random()
             self.fleet.probes.ask(leaf.name, at)
 
@@ -131,6 +135,10 @@
     def set_members(self, members: dict[str, Member], now: float) -> None:
         """Take in which nodes are registered."""
         self.members = members
+        region_of = self.me.region_of
+        region = region_of.get(self.me.domain)
+        near = sum(1 for member in members.values() if region_of.get(member.domain) == region)
+        self._near_nodes = max(1, near)
         self.member_counts.saw(len(members), now)
         self.rollouts.set_members(members, now)
         self.budget.nodes = self.member_count(now)
@@ -143,6 +151,9 @@
         region_of = self.me.region_of
         return region_of.get(leaf.entry.domain) == region_of.get(self.me.domain)
 
+    def _is_first_prober(self, leaf: Leaf) -> bool:
+        return unit_interval(leaf.name, self.me.node) * self._near_nodes < FIRST_PROBERS
+
     def cold_calls(self, leaf: Leaf) -> float:
         """Return how many calls a second this node may send to a leaf while it is cold."""
         table = self.tables.table
--- a/packages/cactussaddle-core/src/cactussaddle_core/fleet/probing.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fleet/probing.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import enum
+import statistics
 
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
 from cactussaddle_core.fleet.hints import Trouble
+from cactussaddle_core.fleet.leaf import SLOW_RATIO
 from cactussaddle_core.fleet.model import Standing
 
 if TYPE_CHECKING:
@@ -74,12 +76,14 @@
     was_down = leaf.standing is Standing.DOWN
     leaf.answered(now)
     usual_s = _usual_probe_s(fleet, leaf)
-    is_news = usual_s is not None and leaf.probed(_ratio(health.work_s, usual_s), now)
+    ratio = _ratio(health.work_s, usual_s) if usual_s is not None else 1.0
+    is_news = usual_s is not None and leaf.probed(ratio, now)
     if is_news and leaf.is_slow(now):
         fleet.hints.note(leaf, Trouble.SLOW, leaf.slowness(now))
     elif is_news or was_down:
         fleet.hints.note(leaf, Trouble.NONE)
-    leaf.least_probe_s = min(health.work_s, leaf.least_probe_s or health.work_s)
+    if ratio < SLOW_RATIO:
+        leaf.least_probe_s = min(health.work_s, leaf.least_probe_s or health.work_s)
 
 
 def _cause(leaf: Leaf, health: Health) -> str:
@@ -104,4 +108,4 @@
         for other in fleet.leaves.values()
         if other.least_probe_s is not None and other.entry.slots == leaf.entry.slots
     ]
-    return min(alike, default=None)
+    return statistics.median_low(alike) if alike else None
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/wire.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/wire.py
@@ -25,8 +25,8 @@
         """Return the bytes of a call."""
         ...
 
-    def is_answer_to(self, request: CallerRequest, response: Response) -> bool:
-        """Return whether a response belongs to the request."""
+    def is_answer_to(self, request: CallerRequest, response: Response) -> bool | None:
+        """Return whether a response belongs to the request; None where it doesn't tell."""
         ...
 
     def decode_end(self, call_id: int, response: Response) -> CallEnd:
--- a/tests/common/http/test_channel.py
+++ b/tests/common/http/test_channel.py
@@ -282,6 +282,57 @@
 
         run(silent, body)
 
+    def test_a_copy_without_an_id_is_no_answer_where_answers_bear_ids(self):
+        """The copy of the first answer lies on the connection when the second request goes out."""
+
+        async def copies(stream):
+            async with stream:
+                await read_request(stream)
+                await stream.send_all(reply(b"one", b"Request-Id: 1\r\n"))
+                await read_request(stream)
+                await stream.send_all(reply(b"one"))
+                await stream.send_all(reply(b"two", b"Request-Id: 2\r\n"))
+
+        def accept(number):
+            def accepts(response):
+                echoed = response.header(b"request-id")
+                return None if echoed is None else echoed == number
+
+            return accepts
+
+        async def body(pool):
+            ends: list[Any] = []
+            for number in (b"1", b"2"):
+                exchange = Exchange(
+                    data=REQUEST, left=lambda: None, accept=accept(number), ended=ends.append
+                )
+                pool.start(exchange)
+                with trio.fail_after(1.0):
+                    while len(ends) < int(number):
+                        await trio.sleep(0.005)
+            self.assertEqual([body_of(end) for end in ends], [b"one", b"two"])
+            self.assertEqual(len(pool.channels), 0)
+
+        run(copies, body, most=1)
+
+    def test_an_idle_connection_is_not_used_longer_than_its_peer_says(self):
+        connections = 0
+
+        async def keeps_a_second(stream):
+            nonlocal connections
+            connections += 1
+            async with stream:
+                while await read_request(stream):
+                    await stream.send_all(reply(b"ok", b"Keep-Alive: timeout=1, max=9\r\n"))
+
+        async def body(pool):
+            for idle_s, expected in ((0.0, 1), (0.3, 1), (0.6, 2)):
+                await trio.sleep(idle_s)
+                self.assertEqual(body_of(await fetch(pool, REQUEST, 1.0)), b"ok")
+                self.assertEqual(connections, expected)
+
+        run(keeps_a_second, body)
+
     def test_a_connection_that_was_dropped_while_idle_shortens_the_idle_time(self):
         async def body(pool):
             before = pool.idle_limit_s
--- a/tests/core/edge/test_busynode.py
+++ b/tests/core/edge/test_busynode.py
@@ -4,11 +4,13 @@
 
 import unittest
 
+from cactussaddle_core.fanout.model import ProbeLeaf
 from cactussaddle_core.fleet.model import Standing
 from tests.core.edge.busynode import BusyNode
 from tests.core.edge.doing import Doing
 from tests.core.edge.doing import dark
 from tests.core.edge.world import DOMAINS
+from tests.core.edge.world import World
 from tests.core.edge.world import gather_route
 from tests.core.edge.world import leaf_name
 
@@ -77,5 +79,17 @@
         self.assertLess(answer.took_s, OBJECTIVE_S)
 
 
+class FirstProbesTest(unittest.TestCase):
+    def probes(self, nodes: int) -> int:
+        world = World(shards=SHARDS, nodes=nodes)
+        world.run(3.0)
+        return sum(1 for effect in world.effects if isinstance(effect, ProbeLeaf))
+
+    def test_leaves_are_probed_at_first_by_a_few_nodes_however_many_there_are(self):
+        leaves_nearby = SHARDS + 1
+        self.assertEqual(self.probes(3), leaves_nearby)
+        self.assertLess(self.probes(65), leaves_nearby // 5)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/core/edge/world.py
+++ b/tests/core/edge/world.py
@@ -143,9 +143,9 @@
     def load_all(self) -> None:
         """Have the node read the routing table, the leaves and the members."""
         self.feed(ev.TableSeen(self.table(1, self._services)))
-        self.feed(ev.LeavesListed(tuple(entry(s, d) for s in self._services for d in DOMAINS)))
         members = tuple(Member(f"node-{n}", "127.0.0.1", 1, HOME) for n in range(self._nodes))
         self.feed(ev.MembersListed(members))
+        self.feed(ev.LeavesListed(tuple(entry(s, d) for s in self._services for d in DOMAINS)))
 
     def table(self, version: int, services: list[str]) -> RoutingTable:
         specs = [ServiceSpec(name, "/health", 46, 3.0, 0.0) for name in services]
