Queries whose shards' queues are too long are refused at once; hedges don't lengthen queues

The load replayed: one shard lost, two at a fifth of their speed, 80 requests a second (tests.core. edge.test_load). Before: 1 of 100 in time, none refused before it ran: queues were full of queries that would be late. The nodes know the queues: leaves report their load with each answer, and each node counts its own calls. A query over many shards is now begun only while the queues of enough of them let it end in time; otherwise its caller is told to come back after the rest of the queue has drained, each a little later than the next (0.1 to 1.0 s). A hedge in such a time took a slot from another query: 142 of 296 calls at one shard. It now needs a free slot and a leaf that can still answer in time, unless the first leaf has been silent since. Tried and not kept: margins of 1.15 to 2 on the expected time (55 to 77 in time), slow leaves without a queue counted as too slow (18 in time). Callers refused together were all told 0.3 s; the times now differ.

--- a/packages/cactussaddle-core/src/cactussaddle_core/fanout/choose.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/choose.py
@@ -61,15 +61,9 @@
     return book.rollouts.narrow(usable, part.service, part.query.request.request_id, now)
 
 
-def is_servable(book: FanoutBook, part: Part, now: float) -> bool:
-    """Return whether some leaf of the part's service is not known to be down."""
-    return any(leaf.standing is not Standing.DOWN for leaf in candidates(book, part, now))
-
-
 def cost_s(book: FanoutBook, route: Route, leaf: Leaf, now: float) -> float:
     """Return the expected time of a call in seconds, with costs for what speaks against the leaf."""
-    usual_s = book.timings.usual_s(route)
-    cost = book.timings.trip_s(leaf) + usual_s * leaf.slowness(now) * (1.0 + _queue(leaf, now))
+    cost = expected_s(book, route, leaf, now)
     cost += FAULT_COST_S * leaf.faults(now) + _distance_part(book, leaf) * route.objective_s
     if leaf.is_stalled(now):
         cost += STALL_COST_S
@@ -77,7 +71,13 @@
         cost += DOWN_COST_S
     elif leaf.standing is Standing.SUSPECT:
         cost += SUSPECT_COST_S
-    return cost + SPREAD * usual_s * book.rng.random()
+    return cost + SPREAD * book.timings.usual_s(route) * book.rng.random()
+
+
+def expected_s(book: FanoutBook, route: Route, leaf: Leaf, now: float) -> float:
+    """Return how long a call is expected to take, by the leaf's speed and its queue."""
+    work_s = book.timings.usual_s(route) * leaf.slowness(now)
+    return book.timings.trip_s(leaf) + work_s * (1.0 + queue_rounds(leaf, now))
 
 
 def _distance_part(book: FanoutBook, leaf: Leaf) -> float:
@@ -90,13 +90,26 @@
     return OTHER_REGION_PART
 
 
-def _queue(leaf: Leaf, now: float) -> float:
+def has_free_slot(leaf: Leaf, now: float) -> bool:
+    """Return whether a call would run at once, as far as is known."""
+    return _ahead(leaf, now) < _slots(leaf)
+
+
+def queue_rounds(leaf: Leaf, now: float) -> float:
     """Return how many rounds of work are ahead of a new call."""
-    slots = max(1, min(leaf.entry.slots, leaf.room))
-    ahead = leaf.in_flight
-    if leaf.load is not None and now - leaf.load_at < LOAD_REPORT_S:
-        ahead = max(ahead, leaf.load.running + leaf.load.waiting)
-    free = slots - ahead
+    slots = _slots(leaf)
+    free = slots - _ahead(leaf, now)
     if free > 0:
-        return 0.1 * ahead / slots
+        return 0.1 * (slots - free) / slots
     return (1 - free) / slots
+
+
+def _slots(leaf: Leaf) -> int:
+    return max(1, min(leaf.entry.slots, leaf.room))
+
+
+def _ahead(leaf: Leaf, now: float) -> int:
+    """Return the calls that run or wait at a leaf: this node's own, or all by its last report."""
+    if leaf.load is not None and now - leaf.load_at < LOAD_REPORT_S:
+        return max(leaf.in_flight, leaf.load.running + leaf.load.waiting)
+    return leaf.in_flight
--- a/packages/cactussaddle-core/src/cactussaddle_core/fanout/finish.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/finish.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from cactussaddle_core.codes import ResultCode
+from cactussaddle_core.fanout.admit import spread_retry
 from cactussaddle_core.fanout.model import Declined
 from cactussaddle_core.fanout.model import Merged
 from cactussaddle_core.fanout.model import Relayed
@@ -69,7 +70,7 @@
         code = ResultCode.INSUFFICIENT_COVERAGE
     else:
         code = ResultCode.OUTCOME_UNKNOWN
-    retry_after_s = 0.0 if ran else RETRY_AFTER_S
+    retry_after_s = 0.0 if ran else spread_retry(book, RETRY_AFTER_S)
     request = query.request
     declined = Declined(
         request.req_id, request.request_id, code, message, ran, retry_after_s, query
--- a/packages/cactussaddle-core/src/cactussaddle_core/fanout/reduce.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/reduce.py
@@ -7,9 +7,11 @@
 from typing import TYPE_CHECKING
 
 from cactussaddle_core.codes import ResultCode
+from cactussaddle_core.fanout.admit import refusal
+from cactussaddle_core.fanout.choose import choose
 from cactussaddle_core.fanout.choose import cost_s
-from cactussaddle_core.fanout.choose import is_servable
-from cactussaddle_core.fanout.finish import RETRY_AFTER_S
+from cactussaddle_core.fanout.choose import expected_s
+from cactussaddle_core.fanout.choose import has_free_slot
 from cactussaddle_core.fanout.finish import decline
 from cactussaddle_core.fanout.finish import finish_if_settled
 from cactussaddle_core.fanout.model import NEVER_ARRIVED
@@ -56,6 +58,9 @@
 HEDGE_RESERVE = 1.0
 # How long a refused part waits before it asks the same leaves again; doubled each time.
 REFUSED_WAIT_S = 0.03
+# Where a leaf answers other calls, a hedge that would wait in another's queue only makes that longer;
+# the leaves are looked at again after this.
+FULL_QUEUES_WAIT_S = 0.03
 MAX_REFUSED_WAITS = 4
 RUN_TO_AN_END = (CallEnding.ANSWERED, CallEnding.FAILED, CallEnding.BROKEN)
 
@@ -88,10 +93,9 @@
         book.budget.request(service, now)
     if deadline <= now:
         return [_refuse(query, "the caller's time is over", 0.0)]
-    servable = sum(1 for part in query.parts if is_servable(book, part, now))
-    if servable < query.needed():
-        message = f"{servable} of {len(query.parts)} services can be asked"
-        return [_refuse(query, message, RETRY_AFTER_S)]
+    refused = refusal(book, query, now)
+    if refused is not None:
+        return [_refuse(query, refused.reason, refused.retry_after_s)]
     book.queries[request.req_id] = query
     effects: list[FanoutEffect] = []
     for part in query.parts:
@@ -208,9 +212,25 @@
         return []
     part.hedge_at = math.inf
     effects = end_unsent(book, part, now)
-    if part.open_calls and not can_hedge(part):
+    if not part.open_calls:
+        return effects + send(book, part, HEDGE, now, reserve=HEDGE_RESERVE)
+    choice = choose(book, part, now) if can_hedge(part) else None
+    if choice is None:
         return effects
-    return effects + send(book, part, HEDGE, now, reserve=HEDGE_RESERVE)
+    last = part.open_calls[-1]
+    if last.leaf.heard_at > last.left_at and not _would_help(book, part, choice.leaf, now):
+        part.hedge_at = now + FULL_QUEUES_WAIT_S
+        return effects
+    return effects + send_to(book, part, choice, HEDGE, now, reserve=HEDGE_RESERVE)
+
+
+def _would_help(book: FanoutBook, part: Part, leaf: Leaf, now: float) -> bool:
+    """Return whether a hedge would run at once at a leaf, and end in time where that is possible."""
+    query = part.query
+    if not has_free_slot(leaf, now):
+        return False
+    ends_at = now + expected_s(book, query.route, leaf, now)
+    return ends_at < query.answer_by or now >= query.answer_by
 
 
 def _is_own_doing(book: FanoutBook, call: Call, now: float) -> bool:
--- a/tests/core/edge/test_load.py
+++ b/tests/core/edge/test_load.py
@@ -4,6 +4,7 @@
 
 import unittest
 
+from cactussaddle_core.edge import events as ev
 from cactussaddle_core.fanout.model import CallEnding
 from tests.core.edge.doing import QueueingLeaf
 from tests.core.edge.doing import dark
@@ -96,6 +97,22 @@
         self.assertEqual((answer.kind, answer.ran), ("NOT_RUN", False))
         self.assertGreater(answer.retry_after_s, 0.0)
 
+    def test_callers_refused_together_are_told_different_times(self):
+        world = World()
+        for shard in SHARDS[:4]:
+            for domain in DOMAINS:
+                world.feed(ev.LeafRemoved(leaf_name(shard, domain)))
+        asked = [world.ask() for _ in range(40)]
+        times = {round(world.done[req_id].retry_after_s, 3) for req_id in asked}
+        self.assertGreater(len(times), 20)
+        self.assertGreater(max(times) - min(times), 0.05)
+
+    def test_hedges_do_not_go_where_they_would_wait(self):
+        world, asked = self.overload(80.0)
+        calls = [call for req_id in asked for call in world.calls_of(req_id, "s1")]
+        hedges = [call for call in calls if call.reason == "hedge"]
+        self.assertLess(len(hedges), len(calls) / 2)
+
     def served_in_time(self, world: World, asked: list[int]) -> float:
         done = [world.done[req_id] for req_id in asked]
         served = [answer for answer in done if answer.kind == "merged" and answer.took_s <= 0.297]
