Probes of a leaf in trouble don't grow with the nodes of its region

Now each node waits the longer the more nodes hear the hint, so about as many probes come as from three nodes, and one that avoids a leaf on others' word takes their word that it is well again.

--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/reduce.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/reduce.py
@@ -311,7 +311,7 @@
 
 
 def _hints_heard(state: EdgeState, event: ev.HintsHeard, now: float) -> list[Effect]:
-    take_hints(state.fleet, event.hints, state.fanout.rng, now)
+    take_hints(state.fleet, event.hints, state.fanout.rng, state.near_nodes, now)
     return []
 
 
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/state.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/state.py
@@ -54,7 +54,7 @@
 
 
 class EdgeState:
-    """Everything one node knows and does."""
+    """Everything one node knows and does; `near_nodes` counts the nodes of its region."""
 
     def __init__(self, *, me: EdgeIdentity, rules: EdgeRules, seed: int) -> None:
         self.me = me
@@ -64,7 +64,7 @@
         self.fleet = Fleet()
         self.members: dict[str, Member] = {}
         self.member_counts = MemberCounts()
-        self._near_nodes = 1
+        self.near_nodes = 1
         self.crashes = CrashWatch(node=me.node, fleet=self.fleet)
         self.waiting = WaitingRoom()
         self.store_up = False
@@ -138,7 +138,7 @@
         region_of = self.me.region_of
         region = region_of.get(self.me.domain)
         near = sum(1 for member in members.values() if region_of.get(member.domain) == region)
-        self._near_nodes = max(1, near)
+        self.near_nodes = max(1, near)
         self.member_counts.saw(len(members), now)
         self.rollouts.set_members(members, now)
         self.budget.nodes = self.member_count(now)
@@ -152,7 +152,7 @@
         return region_of.get(leaf.entry.domain) == region_of.get(self.me.domain)
 
     def _is_first_prober(self, leaf: Leaf) -> bool:
-        return unit_interval(leaf.name, self.me.node) * self._near_nodes < FIRST_PROBERS
+        return unit_interval(leaf.name, self.me.node) * self.near_nodes < FIRST_PROBERS
 
     def cold_calls(self, leaf: Leaf) -> float:
         """Return how many calls a second this node may send to a leaf while it is cold."""
--- a/packages/cactussaddle-core/src/cactussaddle_core/fleet/hints.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fleet/hints.py
@@ -23,10 +23,15 @@
     from cactussaddle_core.fleet.leaf import Leaf
 
 MAX_HINTS = 24
-# Of the nodes that know of a leaf in trouble one probes it next, by chance, and tells the others.
-NEXT_PROBE_FACTOR = (1.5, 4.0)
-# Within this time a node sees for itself whether a leaf is down, or up again.
+# Of the nodes that know of a leaf in trouble one probes it next, by chance, and tells the others: the
+# earliest time and the span of the times drawn, as parts of the usual pause between probes.
+NEXT_PROBE_FACTOR = 1.5
+NEXT_PROBE_SPAN = 2.5
+# Within this time some nodes see for themselves whether a leaf is down, or up again.
 DOWN_CHECK_S = 0.4
+MOST_UP_CHECK_S = 1.0
+# About as many nodes draw a time within the span as there were when all did.
+CHECKING_NODES = 3
 # A hint of a fault counts less than a fault seen.
 FAULT_WEIGHT = 0.15
 
@@ -76,30 +81,41 @@
         return tuple(hints)
 
 
-def take_hints(fleet: Fleet, hints: Iterable[Hint], rng: random.Random, now: float) -> None:
-    """Take in another node's hints; those of another start of a leaf are left aside."""
+def take_hints(
+    fleet: Fleet, hints: Iterable[Hint], rng: random.Random, nodes: int, now: float
+) -> None:
+    """Take in another node's hints; those of another start of a leaf are left aside.
+
+    `nodes` is how many nodes hear the hints: the more they are, the longer each waits with a probe,
+    so that a leaf in trouble gets about as many probes however many nodes there are.
+    """
+    spread = max(1.0, nodes / CHECKING_NODES)
     for hint in hints:
         leaf = fleet.leaves.get(hint.leaf)
         if leaf is not None and leaf.entry.born_ms == hint.born_ms:
             fleet.note_standing(leaf, "told by another node", now)
-            _take(leaf, hint, rng, now)
+            _take(leaf, hint, spread * rng.random(), now)
 
 
-def _take(leaf: Leaf, hint: Hint, rng: random.Random, now: float) -> None:
-    later = now + SLOW_PROBE_EVERY_S * rng.uniform(*NEXT_PROBE_FACTOR)
+def _take(leaf: Leaf, hint: Hint, drawn: float, now: float) -> None:
+    """Take in a hint; `drawn` says when this node's turn to probe the leaf comes."""
+    later = now + SLOW_PROBE_EVERY_S * (NEXT_PROBE_FACTOR + NEXT_PROBE_SPAN * drawn)
     if hint.trouble is Trouble.SLOW:
         leaf.probed(hint.amount, now)
         leaf.probes.put_off(leaf.name, later)
     elif hint.trouble is Trouble.DOWN:
         if leaf.standing is Standing.READY:
             leaf.standing = Standing.SUSPECT
-            leaf.probes.ask(leaf.name, now + DOWN_CHECK_S * rng.random())
-        elif leaf.standing is Standing.DOWN:
+            leaf.probes.ask(leaf.name, now + DOWN_CHECK_S * drawn)
+        else:
             leaf.probes.put_off(leaf.name, later)
     elif hint.trouble is Trouble.FAULTS:
         for _ in range(min(10, int(hint.amount))):
             leaf.saw_fault(True, now, weight=FAULT_WEIGHT)
     else:
         leaf.probed(1.0, now)
-        if leaf.standing is not Standing.READY:
-            leaf.probes.ask(leaf.name, now + DOWN_CHECK_S * rng.random())
+        if leaf.standing is Standing.SUSPECT and now >= leaf.suspect_until:
+            leaf.standing = Standing.READY
+            leaf.probes.put_off(leaf.name, later)
+        elif leaf.standing is not Standing.READY:
+            leaf.probes.put_off(leaf.name, now + min(DOWN_CHECK_S * drawn, MOST_UP_CHECK_S))
--- a/tests/core/fleet/test_fleet.py
+++ b/tests/core/fleet/test_fleet.py
@@ -148,7 +148,7 @@
         self.fleet.probes.take_due(99.0)
 
     def hear(self, trouble: Trouble, amount: float = 0.0, born_ms: int = 1):
-        take_hints(self.fleet, [Hint(NAME, born_ms, trouble, amount)], random.Random(1), 20.0)
+        take_hints(self.fleet, [Hint(NAME, born_ms, trouble, amount)], random.Random(1), 3, 20.0)
 
     def test_a_slow_leaf_is_avoided_and_probed_later_than_by_the_one_who_told(self):
         self.hear(Trouble.SLOW, 8.0)
--- /dev/null
+++ b/tests/core/fleet/test_many_nodes.py
@@ -0,0 +1,92 @@
+"""Replays leaves in trouble at which the nodes of a large region look: the probes stay few."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from cactussaddle_core.fleet.book import Fleet
+from cactussaddle_core.fleet.hints import take_hints
+from cactussaddle_core.fleet.model import Standing
+from cactussaddle_core.fleet.probing import Health
+from cactussaddle_core.fleet.probing import ProbeEnd
+from cactussaddle_core.fleet.probing import due_probes
+from cactussaddle_core.fleet.probing import probe_ended
+from tests.core.edge.world import entry
+
+NAME = "s0-north"
+STEP_S = 0.1
+SILENT = Health(ProbeEnd.SILENT, "", False, None, 0.0)
+USUAL_S = 0.007
+
+
+def health(factor: float) -> Health:
+    return Health(ProbeEnd.ANSWERED, NAME, True, None, factor * USUAL_S)
+
+
+class Region:
+    """Nodes that know one leaf; `answer(now)` is what a probe of it brings."""
+
+    def __init__(self, *, nodes: int, answer, seed: int = 1) -> None:
+        self.answer = answer
+        self.now = 100.0
+        self.probes = 0
+        self.fleets = [Fleet() for _ in range(nodes)]
+        self._rng = random.Random(seed)
+        for fleet in self.fleets:
+            fleet.listed([entry("s0", "north")], self.now)
+            probe_ended(fleet, NAME, health(1.0), self.now)
+            fleet.hints.take()
+
+    def run(self, seconds: float) -> None:
+        until = self.now + seconds
+        while self.now < until:
+            self.now += STEP_S
+            for fleet in self.fleets:
+                for _ in due_probes(fleet, self.now):
+                    self.probes += 1
+                    probe_ended(fleet, NAME, self.answer(self.now), self.now)
+            for fleet in self.fleets:
+                hints = fleet.hints.take()
+                for other in self.fleets:
+                    if other is not fleet and hints:
+                        take_hints(other, hints, self._rng, len(self.fleets), self.now)
+
+    def standings(self) -> set[Standing]:
+        return {fleet.leaves[NAME].standing for fleet in self.fleets}
+
+
+def flickers(now: float) -> Health:
+    """Answer half of the probes, as a leaf with full queues does."""
+    return SILENT if random.Random(int(now * 10)).random() < 0.5 else health(8.0)
+
+
+class ManyNodesTest(unittest.TestCase):
+    def probes(self, nodes: int, answer) -> int:
+        region = Region(nodes=nodes, answer=answer)
+        region.fleets[0].leaves[NAME].doubt(region.now)
+        region.run(10.0)
+        return region.probes
+
+    def test_the_probes_of_a_leaf_in_trouble_do_not_grow_with_the_nodes(self):
+        answers = {
+            "slow": lambda now: health(8.0),
+            "flickers": flickers,
+            "silent": lambda now: SILENT,
+        }
+        for name, answer in answers.items():
+            with self.subTest(name):
+                self.assertLess(self.probes(65, answer), 3 * self.probes(3, answer) + 20)
+
+    def test_all_nodes_learn_that_a_leaf_is_down_and_up_again(self):
+        region = Region(nodes=65, answer=lambda now: SILENT)
+        region.fleets[0].leaves[NAME].doubt(region.now)
+        region.run(6.0)
+        self.assertNotIn(Standing.READY, region.standings())
+        region.answer = lambda now: health(1.0)
+        region.run(4.0)
+        self.assertEqual(region.standings(), {Standing.READY})
+
+
+if __name__ == "__main__":
+    unittest.main()
