An older listing of a node that lags is no longer taken after the store has forgotten its history

Cause: history that is gone makes a node read everything anew; with the store refusing, it asked other nodes and took any whole listing, an older one too: leaves that had left and keys withdrawn were in use again until a fresh source answered. Ruled out: changes since a revision, which are told apart by record; tables, guarded by version.

--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/follow.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/follow.py
@@ -159,6 +159,11 @@
 
     def _take(self, member: Member | None, batch: Batch, now: float) -> bool:
         self._sure = member is None
+        if batch.whole and batch.revision < self.log.revision:
+            # Taken for the present state, it would bring back what has been removed since.
+            self.choice.failed(member, now)
+            self._lost("older than what is known here", member)
+            return False
         if batch.age_s > STALE_S:
             self._apply(batch)
             self.choice.failed(member, now)
--- a/tests/node/edge/test_follow.py
+++ b/tests/node/edge/test_follow.py
@@ -74,6 +74,7 @@
         self.age_s = 0.0
         self.delay_s = 0.05
         self.asked: list[str] = []
+        self.limit: int | None = None
 
     async def changes(self, member: Member, after: int):
         self.asked.append(member.node)
@@ -81,8 +82,16 @@
         if member.node in self.silent:
             await trio.sleep(1.0)
             return OUT
-        news = tuple(record for record in self.store.records if record.revision > after)
-        return Success(Batch(news, self.store.revision, after < 0, self.age_s))
+        known = self.store.records
+        revision = self.store.revision
+        if self.limit is not None:
+            known = [record for record in known if record.revision <= self.limit]
+            revision = self.limit
+        if after < 0:
+            newest = {record.key: record for record in known}
+            known = [record for record in newest.values() if record.value is not None]
+        news = tuple(record for record in known if record.revision > after)
+        return Success(Batch(news, revision, after < 0, self.age_s))
 
 
 class Decoder:
@@ -242,6 +251,35 @@
 
         self.follow(body, self.place()._replace(store_at=0))
 
+    def test_a_whole_listing_of_a_node_that_lags_brings_nothing_back(self):
+        """The store forgets its history and refuses; the nodes asked instead are behind."""
+
+        async def body(follower):
+            self.store.write("gone", b"1")
+            await trio.sleep(1.0)
+            behind = self.store.revision
+            self.store.write("gone", None)
+            await trio.sleep(1.0)
+            self.assertEqual(self.keys()[-1], "gone")
+            fed = len(self.fed)
+            self.peers.limit = behind
+            self.store.forgot_before = self.store.revision + 1
+            follower.interrupt("renewal: no answer")
+            await trio.sleep(0.05)
+            self.store.out = True
+            await trio.sleep(3.0)
+            self.assertNotIn("listing", [e.key for e in self.fed[fed:] if hasattr(e, "key")])
+            self.assertEqual(follower.log.revision, self.store.revision)
+            self.peers.limit = None
+            self.store.write("new", b"1")
+            await trio.sleep(4.0)
+            self.assertIn("new", self.reasons())
+
+        self.follow(body, self.place()._replace(store_at=0))
+
+    def reasons(self) -> str:
+        return " ".join(f"{e.key} {e.reason}" for e in self.fed if hasattr(e, "key"))
+
     def test_what_is_stale_at_the_parents_is_asked_of_the_store(self):
         async def body(follower):
             self.peers.age_s = 9.0
