A refused reader follows other readers, not its own followers; a moment without the store lapses nothing

Cause: (1) the region's reader, refused by the store, asked nodes that follow it; they handed the same knowledge round until it was 2.5 s old and one of them asked the store: news came every 3.5 s. It now asks the readers of other regions first, tries the store less often while those are fresh, and a question says how old the asker's knowledge is, so that better knowledge comes at once. (2) Each such moment counted as an outage of the store, after which removed entries are kept 2.3 s in case they had only lapsed. Only an outage of 1.5 s or more, in which entries can lapse, counts now.

--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/reduce.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/reduce.py
@@ -226,7 +226,7 @@
 
 
 def _store_lost(state: EdgeState, event: ev.StoreLost, now: float) -> list[Effect]:
-    state.fleet.store_lost(now)
+    state.fleet.store_lost(now, event.age_s)
     if not state.store_up:
         return _turn_away(state)
     state.store_up = False
--- a/packages/cactussaddle-core/src/cactussaddle_core/fleet/book.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fleet/book.py
@@ -24,6 +24,8 @@
 
 # Entries that lapsed during an outage are back about two seconds after it.
 REJOIN_S = 2.3
+# Entries lapse only in an outage that lasts longer: leaves renew them more often than that.
+LEAST_OUTAGE_S = 1.5
 # An entry removed this soon after an outage may have lapsed in it.
 OUTAGE_ECHO_S = 3.0
 MAX_NOTED = 200
@@ -43,20 +45,24 @@
         self._noted: dict[str, tuple[Standing, bool, str]] = {}
         self._store_back_at = -math.inf
         self._store_out = False
+        self._confirmed_at = -math.inf
 
     def of(self, service: str) -> list[Leaf]:
         """Return the leaves of a service, those to be dropped soon included."""
         return self.by_service.get(service, [])
 
-    def store_lost(self, now: float) -> None:
-        """Take in that the registry can't be read."""
-        self._store_out = True
+    def store_lost(self, now: float, age_s: float = 0.0) -> None:
+        """Take in that the registry can't be read, and was last confirmed `age_s` ago."""
+        if not self._store_out:
+            self._store_out = True
+            self._confirmed_at = now - age_s
 
     def store_back(self, now: float) -> None:
         """Take in that the registry can be read again."""
         if self._store_out:
             self._store_out = False
-            self._store_back_at = now
+            if now - self._confirmed_at >= LEAST_OUTAGE_S:
+                self._store_back_at = now
 
     def listed(self, entries: Iterable[LeafEntry], now: float) -> list[Leaf]:
         """Take in a complete listing; return the leaves that are new starts."""
--- a/packages/cactussaddle-core/src/cactussaddle_core/spread/choice.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/spread/choice.py
@@ -12,7 +12,8 @@
 STORE = "store"
 FIRST_BAR_S = 1.0
 MAX_BAR_S = 2.0
-# Changes have to be in force within seconds of the store's return, and few nodes read it.
+# Changes have to be in force within seconds of the store's return, and few nodes read it. A node
+# with a fresh member to follow can wait longer.
 READERS_MAX_BAR_S = 1.0
 OTHERS_MAX_BAR_S = 3.0
 # What a source hands on is stale when the store has not confirmed it for this long.
@@ -31,6 +32,7 @@
         self.place = Place((), 0)
         self._barred_until: dict[str, float] = {}
         self._bars: dict[str, float] = {}
+        self._member_is_fresh = False
 
     def set_place(self, place: Place) -> None:
         """Follow a changed place in the tree."""
@@ -56,6 +58,8 @@
 
     def failed(self, member: Member | None, now: float) -> None:
         """Take in that a source did not answer, or with what is stale."""
+        if member is not None:
+            self._member_is_fresh = False
         name = source_name(member)
         bar_s = self._bars.get(name, FIRST_BAR_S)
         self._barred_until[name] = now + bar_s
@@ -63,6 +67,8 @@
 
     def answered(self, member: Member | None) -> None:
         """Take in a fresh answer of a source."""
+        if member is not None:
+            self._member_is_fresh = True
         name = source_name(member)
         self._bars.pop(name, None)
         self._barred_until.pop(name, None)
@@ -70,7 +76,8 @@
     def _most_bar_s(self, member: Member | None) -> float:
         if member is not None:
             return MAX_BAR_S
-        return READERS_MAX_BAR_S if self.reads_store else OTHERS_MAX_BAR_S
+        alone = self.reads_store and not self._member_is_fresh
+        return READERS_MAX_BAR_S if alone else OTHERS_MAX_BAR_S
 
     def _sources(self) -> list[tuple[str, Member | None]]:
         members: list[tuple[str, Member | None]] = [
--- a/packages/cactussaddle-core/src/cactussaddle_core/spread/tree.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/spread/tree.py
@@ -4,7 +4,8 @@
 the others follow one before them, a few followers each. Of the roots of a region the first reads
 the store and the others follow it. Nodes only follow nodes before them, so there are no circles as
 long as they know the same members. Where they don't, and where a reader that the store refuses asks
-nodes that may follow it, the age of what is handed on shows it.
+nodes that may follow it, the age of what is handed on shows it. Such a reader asks the readers of
+other regions first: with a node that follows it, it would hand on the same knowledge in a circle.
 """
 
 from __future__ import annotations
@@ -54,7 +55,7 @@
     reader = roots[region]
     before = [reader] if reader != node else []
     after = order[1 : 1 + MAX_FALLBACKS]
-    return Place(tuple(by_name[name] for name in [*before, *after, *others]), len(before))
+    return Place(tuple(by_name[name] for name in [*before, *others, *after]), len(before))
 
 
 def _before(order: list[str], index: int) -> list[str]:
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/follow.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/follow.py
@@ -66,8 +66,11 @@
 class PeerSource(Protocol):
     """Other nodes."""
 
-    async def changes(self, member: Member, after: int) -> Result[Batch, StoreError]:
-        """Ask a node for changes after a revision; it answers within a short wait."""
+    async def changes(self, member: Member, after: int, age_s: float) -> Result[Batch, StoreError]:
+        """Ask a node for changes after a revision, which the store confirmed `age_s` ago here.
+
+        It answers within a short wait, and at once where it knows better.
+        """
         ...
 
 
@@ -182,7 +185,8 @@
     async def _ask(self, member: Member | None) -> Result[Batch | None, StoreError] | None:
         """Ask a source; None when interrupted."""
         if member is not None:
-            asked = await self._peers.changes(member, self.log.revision if self._loaded else -1)
+            after = self.log.revision if self._loaded else -1
+            asked = await self._peers.changes(member, after, self.age_s(trio.current_time()))
             return asked.map(_optional)
         if not self._loaded:
             return (await self._store.listing()).map(_optional)
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/peerwire.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/peerwire.py
@@ -28,6 +28,7 @@
 from cactussaddle_core.spread.choice import STALE_S
 from cactussaddle_core.spread.model import Batch
 from cactussaddle_node.edge.caller import CallerHooks
+from cactussaddle_node.edge.follow import CONFIRM_STEP_S
 
 if TYPE_CHECKING:
     from cactussaddle_common.http.message import Headers
@@ -51,6 +52,8 @@
 COMPRESS_FROM_BYTES = 2048
 COMPRESS_LEVEL = 3
 AGE = b"record-age"
+# An asker's older knowledge is not told apart.
+MOST_AGE_S = 1e6
 COMPRESSED = b"content-encoding"
 # No table of records comes near this size.
 MAX_RECORDS_BYTES = 64 * 1024 * 1024
@@ -69,10 +72,10 @@
         self._local_host = local_host
         self._pools: dict[Address, Pool] = {}
 
-    async def changes(self, member: Member, after: int) -> Result[Batch, StoreError]:
-        """Ask a node for changes after a revision."""
+    async def changes(self, member: Member, after: int, age_s: float) -> Result[Batch, StoreError]:
+        """Ask a node for changes after a revision, which the store confirmed `age_s` ago here."""
         address = Address(member.host, member.port, self._local_host)
-        target = b"%s?after=%d" % (PATH, after)
+        target = b"%s?after=%d&age=%.3f" % (PATH, after, min(age_s, MOST_AGE_S))
         host = f"{member.host}:{member.port}".encode("ascii")
         data = encode_request(RequestHead(b"GET", target, ((b"Host", host),)), b"")
         end = await fetch(self._pool(address), data, ANSWER_WITHIN_S + SPARE_S)
@@ -127,25 +130,39 @@
 
     def _arrived(self, number: int, connection: CallerConnection, request: IncomingRequest) -> None:
         path, _, query = request.head.target.partition(b"?")
-        after = parse_qs(query).get(b"after", [b""])[0]
+        asked = parse_qs(query)
+        after = asked.get(b"after", [b""])[0]
+        age_s = _seconds(asked.get(b"age", [b""])[0])
         if path != PATH or not after.lstrip(b"-").isdigit():
             connection.answer(number, Answer(404, (), b"no such page"))
         elif not self._follower.log.revision:
             connection.answer(number, Answer(503, (), b"nothing known yet"))
         else:
-            task = (self._answer, number, connection, int(after))
+            task = (self._answer, number, connection, int(after), age_s)
             self._nursery.start_soon(self._guard.once, "answer to a node", *task)
 
-    async def _answer(self, number: int, connection: CallerConnection, after: int) -> None:
+    async def _answer(
+        self, number: int, connection: CallerConnection, after: int, known_s: float
+    ) -> None:
         follower = self._follower
-        is_fresh = follower.age_s(trio.current_time()) <= STALE_S
-        if is_fresh and follower.log.revision <= after:
+        if waits_for_news(follower, after, known_s, trio.current_time()):
             with trio.move_on_after(ANSWER_WITHIN_S):
                 await follower.changed.wait()
         age_s = follower.age_s(trio.current_time())
         connection.answer(number, self._encoded.answer(follower.log, after, age_s))
 
 
+def waits_for_news(follower: Follower, after: int, known_s: float, now: float) -> bool:
+    """Return whether a node that knows all up to a revision, confirmed `known_s` ago, has to wait.
+
+    It is told at once of changes, of a later confirmation, and of knowledge here that is stale.
+    """
+    age_s = follower.age_s(now)
+    if follower.log.revision > after or age_s > STALE_S:
+        return False
+    return age_s + CONFIRM_STEP_S > known_s
+
+
 class EncodedBatches:
     """The batch encoded last, as many followers ask for the same one."""
 
@@ -183,6 +200,15 @@
     return _decoder.decode(body)._replace(age_s=age_s)
 
 
+def _seconds(value: bytes) -> float:
+    """Return a time in a question; 0 for what is none, as from a node that doesn't say."""
+    try:
+        number = float(value)
+    except ValueError:
+        return 0.0
+    return number if math.isfinite(number) else 0.0
+
+
 def _ignore(number: int) -> None:
     """A node that has left gets its answer on a closed connection, where it is dropped."""
 
--- a/tests/core/fleet/test_fleet.py
+++ b/tests/core/fleet/test_fleet.py
@@ -37,6 +37,17 @@
         self.assertTrue(self.fleet.may_get_calls(leaf, 26.9))
         self.assertFalse(self.fleet.may_get_calls(leaf, 27.4))
 
+    def test_a_moment_without_the_store_gives_removed_entries_no_more_time(self):
+        """Found by a hunt: a reader that was refused each second kept leaves that had left."""
+        for age_s, kept in ((0.1, False), (3.0, True)):
+            with self.subTest(age_s=age_s):
+                self.setUp()
+                self.fleet.store_lost(20.0, age_s)
+                self.fleet.store_back(20.02)
+                self.fleet.removed(NAME, 20.1)
+                leaf = self.fleet.leaves[NAME]
+                self.assertIs(self.fleet.may_get_calls(leaf, 20.2), kept)
+
     def test_one_that_comes_back_keeps_what_is_known_of_it(self):
         leaf = self.fleet.leaves[NAME]
         self.fleet.store_lost(20.0)
--- a/tests/node/edge/test_fleetnet.py
+++ b/tests/node/edge/test_fleetnet.py
@@ -80,6 +80,20 @@
 
         self.run_net(body, nodes_per_domain=15)
 
+    def test_all_stay_fresh_while_the_store_refuses_one_reader(self):
+        """Found by a hunt: the reader and its followers handed the same knowledge on in a circle."""
+
+        async def body(net):
+            net.readers()[0].refused = True
+            oldest = 0.0
+            for _ in range(90):
+                await trio.sleep(0.1)
+                now = trio.current_time()
+                oldest = max(oldest, *[n.follower.age_s(now) for n in net.nodes.values()])
+            self.assertLess(oldest, 3.0)
+
+        self.run_net(body, nodes_per_domain=2)
+
     def test_nodes_are_fresh_without_asking_the_store_while_nothing_changes(self):
         async def body(net):
             calls = net.store_calls
