A call lost on a silent connection is sent again though the queues of other leaves are full

Seen failing (DEADLINE_EXCEEDED with the factor set to 1e9). Past eight times its overdue time a call is sent again.

--- a/packages/cactussaddle-core/src/cactussaddle_core/fanout/reduce.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/reduce.py
@@ -61,6 +61,8 @@
 # Where a leaf answers other calls, a hedge that would wait in another's queue only makes that longer;
 # the leaves are looked at again after this.
 FULL_QUEUES_WAIT_S = 0.03
+# A call that is overdue by this factor may be on a connection that has gone silent.
+LOST_FACTOR = 8.0
 MAX_REFUSED_WAITS = 4
 RUN_TO_AN_END = (CallEnding.ANSWERED, CallEnding.FAILED, CallEnding.BROKEN)
 
@@ -217,13 +219,20 @@
     choice = choose(book, part, now) if can_hedge(part) else None
     if choice is None:
         return effects
-    last = part.open_calls[-1]
-    if last.leaf.heard_at > last.left_at and not _would_help(book, part, choice.leaf, now):
+    if _is_being_served(book, part, now) and not _would_help(book, part, choice.leaf, now):
         part.hedge_at = now + FULL_QUEUES_WAIT_S
         return effects
     return effects + send_to(book, part, choice, HEDGE, now, reserve=HEDGE_RESERVE)
 
 
+def _is_being_served(book: FanoutBook, part: Part, now: float) -> bool:
+    """Return whether the part's leaf answers others since, and may still answer it."""
+    last = part.open_calls[-1]
+    overdue_s = book.timings.overdue_s(part.query.route, last.leaf, now)
+    lost = now - last.left_at > LOST_FACTOR * overdue_s
+    return last.leaf.heard_at > last.left_at and not lost
+
+
 def _would_help(book: FanoutBook, part: Part, leaf: Leaf, now: float) -> bool:
     """Return whether a hedge would run at once at a leaf, and end in time where that is possible."""
     query = part.query
--- a/tests/core/edge/test_load.py
+++ b/tests/core/edge/test_load.py
@@ -6,6 +6,8 @@
 
 from cactussaddle_core.edge import events as ev
 from cactussaddle_core.fanout.model import CallEnding
+from cactussaddle_core.fleet.model import Load
+from tests.core.edge.doing import Doing
 from tests.core.edge.doing import QueueingLeaf
 from tests.core.edge.doing import dark
 from tests.core.edge.doing import ending
@@ -14,6 +16,7 @@
 from tests.core.edge.doing import slow
 from tests.core.edge.world import DOMAINS
 from tests.core.edge.world import World
+from tests.core.edge.world import gather_route
 from tests.core.edge.world import leaf_name
 
 SHARDS = [f"s{number}" for number in range(10)]
@@ -107,6 +110,28 @@
         self.assertGreater(len(times), 20)
         self.assertGreater(max(times) - min(times), 0.05)
 
+    def test_a_call_lost_on_a_silent_connection_is_sent_again_though_queues_are_full(self):
+        world = World(nodes=1)
+        world.load(10.0, 3.0)
+        for domain in DOMAINS:
+            full = world.leaf("s1", domain)
+            full.load = Load(6, 2, 6)
+            full.load_at = world.now + 5.0
+        lost = iter([True])
+
+        def loses_one(now, rng):
+            return dark(now, rng) if next(lost, False) else Doing(0.05, load=Load(6, 2, 6))
+
+        for domain in DOMAINS:
+            world.doing[leaf_name("s1", domain)] = loses_one
+        world.routes[0] = gather_route(least=1.0)
+        world.feed(ev.TableSeen(world.table(2, [f"s{n}" for n in range(10)])))
+        req_id = world.ask()
+        world.load(10.0, 2.0)
+        self.assertEqual(world.done[req_id].kind, "merged")
+        self.assertLess(world.done[req_id].took_s, 1.4)
+        self.assertGreater(len(world.calls_of(req_id, "s1")), 1)
+
     def test_hedges_do_not_go_where_they_would_wait(self):
         world, asked = self.overload(80.0)
         calls = [call for req_id in asked for call in world.calls_of(req_id, "s1")]
