Review: clients drop connections that the node has closed; exit status of a failed script

Cause: a client of the stand-ins reused connections to a killed node, and an error of a script ended with the status of a broken rule.

--- a/review/common/http.py
+++ b/review/common/http.py
@@ -127,6 +127,12 @@
         self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
         self.closing = False
+        self.idle_since = 0.0
+
+    @property
+    def usable(self) -> bool:
+        """Whether the peer has not closed the connection, as far as this side has seen."""
+        return self._reader is not None and not self._reader.at_eof()
 
     async def ask(self, method: str, path: str, headers: dict[str, str], body: bytes) -> Reply:
         """Send a request and return the answer; raises `OSError` or `EOFError` without one."""
--- a/review/common/world.py
+++ b/review/common/world.py
@@ -60,6 +60,10 @@
     "header_timeout_ms": 5000,
     "idle_timeout_ms": 15000,
 }
+# Clients reuse connections for up to four fifths of `idle_timeout_ms`.
+CLIENT_IDLE_S = 12.0
+# Exit status of a script that found the rule broken; Python itself exits with 1 on an error.
+BROKEN_STATUS = 10
 
 
 class CannotRunError(Exception):
@@ -250,8 +254,7 @@
         """Send one request of a client to a node and record its answer."""
         self._requests += 1
         name = f"r{self._requests:06d}"
-        idle = self._idle.setdefault(node.name, [])
-        connection = idle.pop() if idle else ClientConnection(node.ip, FRONT_PORT)
+        connection = self._take_connection(node)
         sent_at = time.monotonic()
         headers = {"Host": HOST, "Request-Id": name, "Deadline-Ms": str(int(deadline_s * 1000.0))}
         reply: Reply | None = None
@@ -264,12 +267,24 @@
             if connection.closing:
                 connection.close()
             else:
-                idle.append(connection)
+                connection.idle_since = time.monotonic()
+                self._idle.setdefault(node.name, []).append(connection)
         status = reply.status if reply is not None else 0
         answer = Answer(sent_at, time.monotonic(), name, path, node.name, status, reply)
         self.answers.append(answer)
         return answer
 
+    def _take_connection(self, node: Node) -> ClientConnection:
+        """Return an idle connection that may be used again, or a new one."""
+        idle = self._idle.setdefault(node.name, [])
+        while idle:
+            connection = idle.pop()
+            idle_s = time.monotonic() - connection.idle_since
+            if connection.usable and idle_s < CLIENT_IDLE_S:
+                return connection
+            connection.close()
+        return ClientConnection(node.ip, FRONT_PORT)
+
     async def load(self, path: str, per_s: float, for_s: float, deadline_s: float = 3.0) -> None:
         """Send requests at a steady rate to the nodes in turn."""
         started = time.monotonic()
@@ -283,6 +298,9 @@
         """End the nodes and the stand-ins."""
         for task in list(self._tasks):
             task.cancel()
+        for connections in self._idle.values():
+            for connection in connections:
+                connection.close()
         for node in self.nodes:
             node.end()
         self.store.server.close()
@@ -325,7 +343,7 @@
 
 
 def run_case(case: Any, folder: Path) -> int:
-    """Run a case; return 1 if it found the rule broken, 0 if not, 2 if it could not run.
+    """Run a case; return `BROKEN_STATUS` if it found the rule broken, 0 if not, 2 if it could not run.
 
     `case(world, trouble)` is a coroutine function that returns the breaches, as texts.
     """
@@ -355,4 +373,4 @@
         for node in world.nodes:
             (Path(keep) / f"{node.name}.log").write_text(node.log_text())
     world.write_record(folder / "record.txt")
-    return 1 if breaches else 0
+    return BROKEN_STATUS if breaches else 0
