--- a/review/common/world.py
+++ b/review/common/world.py
@@ -60,6 +60,7 @@
     "header_timeout_ms": 5000,
     "idle_timeout_ms": 15000,
 }
+MEMORY_MB = 300
 # Clients reuse connections for up to four fifths of `idle_timeout_ms`.
 CLIENT_IDLE_S = 12.0
 # Exit status of a script that found the rule broken; Python itself exits with 1 on an error.
@@ -93,6 +94,7 @@
         self._log = folder / f"{name}.log"
         self._seeds = seeds
         self.child: subprocess.Popen[bytes] | None = None
+        self.peak_mb = 0
 
     def write_settings(self, store: tuple[str, int], bootstrap: bool) -> None:
         """Write the settings file as the deploy file's template gives it."""
@@ -113,7 +115,7 @@
             "internal_ports": [PEER_PORT, PEER_PORT + 15],
             "seeds": self._seeds,
             "bootstrap": bootstrap,
-            "limits": {"cpu_share": 0.537, "cpu_speed": 2, "memory_mb": 300, "max_fds": 4100},
+            "limits": {"cpu_share": 0.537, "cpu_speed": 2, "memory_mb": MEMORY_MB, "max_fds": 4100},
             "data_dir": None,
             "heartbeat_ms": 1200,
             "bounds": BOUNDS,
@@ -151,6 +153,19 @@
                 self.child.kill()
             self.child.wait()
 
+    def memory_mb(self) -> int:
+        """Return the resident memory of the process, 0 if it does not run."""
+        if self.child is None or self.child.poll() is not None:
+            return 0
+        try:
+            status = Path(f"/proc/{self.child.pid}/status").read_text()
+        except OSError:
+            return 0
+        lines = [line for line in status.splitlines() if line.startswith("VmRSS:")]
+        memory_mb = int(lines[0].split()[1]) // 1024 if lines else 0
+        self.peak_mb = max(self.peak_mb, memory_mb)
+        return memory_mb
+
     def log_text(self) -> str:
         """Return what the process has written."""
         return self._log.read_text(errors="replace") if self._log.exists() else ""
