Incident of crashing requests: timeline and hypotheses, before any change

The test world takes a node's number and domain, and its leaves and members can be replaced; calls can be left unanswered.

--- a/tests/core/edge/world.py
+++ b/tests/core/edge/world.py
@@ -110,14 +110,21 @@
     """A node, the leaves of ten shards and one unsharded service in three domains, and a clock."""
 
     def __init__(
-        self, *, seed: int = 1, shards: int = 10, nodes: int = 8, rules=ALL, loaded: bool = True
+        self,
+        *,
+        seed: int = 1,
+        shards: int = 10,
+        nodes: int = 8,
+        rules=ALL,
+        loaded: bool = True,
+        number: int = 0,
     ) -> None:
         self.now = 100.0
         self.caller_rtt_s = fan.DEFAULT_CALLER_RTT_S
         self.rng = random.Random(seed)
         region_of = {domain: f"region-{domain}" for domain in DOMAINS}
         self.state = EdgeState(
-            me=EdgeIdentity("node-0", HOME, region_of),
+            me=EdgeIdentity(f"node-{number}", DOMAINS[number % len(DOMAINS)], region_of),
             rules=EdgeRules(rules, ColdRules(over=1.5, slack=5.0)),
             seed=seed,
         )
@@ -133,6 +140,7 @@
         self._started: dict[int, float] = {}
         self._calls: dict[int, Any] = {}
         self._probing: set[str] = set()
+        self._unanswered: set[int] = set()
         self._next_req = 0
         self.routes = [
             gather_route(shards),
@@ -148,9 +156,14 @@
     def load_all(self) -> None:
         """Deliver the routing table, the members and the leaves to the node."""
         self.feed(ev.TableSeen(self.table(1, self._services)))
-        members = tuple(Member(f"node-{n}", "127.0.0.1", 1, HOME) for n in range(self._nodes))
-        self.feed(ev.MembersListed(members))
-        self.feed(ev.LeavesListed(tuple(entry(s, d) for s in self._services for d in DOMAINS)))
+        self.feed(ev.MembersListed(self.members(self._nodes)))
+        self.feed(ev.LeavesListed(self.leaves()))
+
+    def members(self, count: int) -> tuple[Member, ...]:
+        return tuple(Member(f"node-{n}", "127.0.0.1", 1, HOME) for n in range(count))
+
+    def leaves(self) -> tuple[LeafEntry, ...]:
+        return tuple(entry(s, d) for s in self._services for d in DOMAINS)
 
     def table(self, version: int, services: list[str]) -> RoutingTable:
         specs = [ServiceSpec(name, "/health", 46, 3.0, 0.0) for name in services]
@@ -270,7 +283,7 @@
         self.done[req_id] = Done(req_id, kind, took_s, missing, ran, after_s, self.now)
 
     def _trip_s(self, leaf: Any) -> float:
-        return NEAR_TRIP_S if leaf.entry.domain == HOME else FAR_TRIP_S
+        return NEAR_TRIP_S if leaf.entry.domain == self.state.me.domain else FAR_TRIP_S
 
     def _send(self, call: Any) -> None:
         self._calls[call.call_id] = call
@@ -293,7 +306,15 @@
         elif does.ending is fan.CallEnding.FAILED:
             reply = fan.LeafReply(500, (), b"", "sig")
         end = fan.CallEnd(call.call_id, does.ending, "", reply, does.load, does.wrong_leaf)
-        self.later(trip_s + does.work_s, ev.CallEnded(end))
+        self.later(trip_s + does.work_s, functools.partial(self._end_call, call, end))
+
+    def forget_answer(self, call: Any) -> None:
+        """Have a call get no answer, whatever was planned for it."""
+        self._unanswered.add(call.call_id)
+
+    def _end_call(self, call: Any, end: fan.CallEnd) -> None:
+        if end.ending is not fan.CallEnding.ANSWERED or call.call_id not in self._unanswered:
+            self.feed(ev.CallEnded(end))
 
     def _close(self, call: Any) -> None:
         """Close the connection of a call, which a leaf with a queue notices."""
