Log and count which requests were running on leaves that went down

The hypotheses of the crashing-request incident can't be told apart from logs: a line of a request didn't carry its fingerprint, nothing said what was recorded of a crash, whether the calls were broken or ended unanswered, and what came from other nodes.

New: leaf_crashed and crashes_learned, the fingerprint in request_ended and request_refused, two counters.

--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/crashes.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/crashes.py
@@ -5,6 +5,9 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
+from cactussaddle_core.edge.logevents import MAX_LOGGED_FINGERPRINTS
+from cactussaddle_core.edge.logevents import CrashesLearned
+from cactussaddle_core.edge.logevents import LeafCrashed
 from cactussaddle_core.edge.logevents import RequestHeld
 from cactussaddle_core.hold.table import HoldSnapshot
 from cactussaddle_core.hold.table import HoldTable
@@ -12,6 +15,7 @@
 
 if TYPE_CHECKING:
     from cactussaddle_core.fleet.fleet import Fleet
+    from cactussaddle_core.fleet.leaf import Leaf
     from cactussaddle_core.hold.table import Clearance
     from cactussaddle_core.hold.table import Strike
 
@@ -52,17 +56,22 @@
         if self._book.succeeded(fingerprint, leaf, now):
             self._broadcasts_left = BROADCAST_REPEATS
 
-    def collect_crashes(self, now: float) -> list[RequestHeld]:
-        """Record the leaves that went down; return the requests that are held as a result."""
+    def collect_crashes(self, now: float) -> list[LeafCrashed | RequestHeld]:
+        """Record the leaves that went down; return their crashes and the requests now held."""
+        events: list[LeafCrashed | RequestHeld] = []
         for leaf in self._fleet.take_newly_down():
             fingerprints = leaf.recently_broken(now)
+            unanswered = leaf.recently_unanswered(now)
             leaf.broken = []
+            leaf.unanswered = []
+            if fingerprints or unanswered:
+                events.append(_crash_event(leaf, fingerprints, unanswered))
             self._book.crashed(leaf.name, str(leaf.entry.born_ms), fingerprints, now)
             if fingerprints:
                 self._broadcasts_left = BROADCAST_REPEATS
             for fingerprint in fingerprints:
                 self._watched[fingerprint] = leaf.name
-        return self._newly_held(now)
+        return [*events, *self._newly_held(now)]
 
     def _newly_held(self, now: float) -> list[RequestHeld]:
         held = [name for name in self._watched if self.is_held(name, now)]
@@ -72,10 +81,16 @@
                 del self._watched[name]
         return events
 
-    def merge(self, snapshot: HoldSnapshot, now: float) -> None:
-        """Merge the records of another node."""
+    def merge(self, snapshot: HoldSnapshot, now: float) -> CrashesLearned | None:
+        """Merge the records of another node; return what was new, or None."""
+        new = [strike for strike in snapshot.strikes if not self._book.knows(strike)]
         if self._book.merge(snapshot, now):
             self._broadcasts_left = BROADCAST_REPEATS
+        if not new:
+            return None
+        leaves = {strike.leaf for strike in new}
+        requests = {strike.fingerprint for strike in new}
+        return CrashesLearned(len(leaves), len(requests))
 
     def next_broadcast(self, now: float) -> HoldSnapshot | None:
         """Return the records to send to all nodes now, leaving out those broadcast often enough."""
@@ -105,3 +120,14 @@
     def _service_of(self, leaf: str) -> str:
         known = self._fleet.leaves.get(leaf)
         return known.entry.service if known is not None else ""
+
+
+def _crash_event(leaf: Leaf, broken: list[str], unanswered: list[str]) -> LeafCrashed:
+    requests = len({*broken, *unanswered})
+    return LeafCrashed(
+        leaf.name, leaf.entry.born_ms, requests, _to_log(broken), _to_log(unanswered)
+    )
+
+
+def _to_log(fingerprints: list[str]) -> tuple[str, ...]:
+    return tuple(sorted(set(fingerprints))[:MAX_LOGGED_FINGERPRINTS])
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/logevents.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/logevents.py
@@ -11,6 +11,9 @@
 from typing import Any
 from typing import NamedTuple
 
+# Fingerprints listed in one line.
+MAX_LOGGED_FINGERPRINTS = 8
+
 
 class LogPriority(enum.IntEnum):
     """Priority of a log event when the log rate is limited; lower priorities are dropped first."""
@@ -209,9 +212,13 @@
 
 
 class RequestEnded(NamedTuple):
-    """A caller's request was answered; `calls` holds the calls that explain the result."""
+    """A caller's request was answered; `calls` holds the calls that explain the result.
+
+    `fingerprint` is the same for each repetition of the same request.
+    """
 
     request: str
+    fingerprint: str
     route: str
     result: str
     message: str
@@ -233,11 +240,33 @@
     """A caller's request was refused before it started."""
 
     request: str
+    fingerprint: str
     result: str
     message: str
     retry_after_ms: float
 
 
+class LeafCrashed(NamedTuple):
+    """A leaf went down with calls of this node that got no answer, listed by request fingerprint.
+
+    `broken` were ended by the leaf, `unanswered` by this node. Each list is cut at
+    `MAX_LOGGED_FINGERPRINTS`; `requests` counts them all.
+    """
+
+    leaf: str
+    born_ms: int
+    requests: int
+    broken: tuple[str, ...]
+    unanswered: tuple[str, ...]
+
+
+class CrashesLearned(NamedTuple):
+    """Another node has reported crashes that were not known here, of this many leaves and requests."""
+
+    leaves: int
+    requests: int
+
+
 class RequestHeld(NamedTuple):
     """A request, given by fingerprint, is held: it crashed the leaves that ran it, `leaf` the last."""
 
@@ -313,6 +342,8 @@
     LeafStanding,
     RequestEnded,
     RequestRefused,
+    LeafCrashed,
+    CrashesLearned,
     RequestHeld,
     CallerLeft,
     Breach,
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/reduce.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/reduce.py
@@ -56,7 +56,7 @@
         return _start_request(state, event.request, now, now)
     if not state.store_lost_at_start and state.pending_requests.add(event.request, now):
         return []
-    return [_decline(event.request, ResultCode.NOT_CONFIGURED, NOT_LOADED)]
+    return [_decline_not_loaded(event.request)]
 
 
 def _start_request(
@@ -69,7 +69,7 @@
     path = request.target.split(b"?", 1)[0].decode("latin-1")
     route = table.find(request.host, path)
     if route is None:
-        return [_decline(request, ResultCode.UNKNOWN_ROUTE, "no such route")]
+        return [_decline(request, ResultCode.UNKNOWN_ROUTE, "no such route", 0.0)]
     services = route.shards or (state.round_robin.choose(route),)
     waited_s = now - arrived_at
     return [*fanout.begin(state.fanout, request, route, services, table.version, waited_s, now)]
@@ -78,9 +78,7 @@
 def _decline_held(state: EdgeState, request: CallerRequest, now: float) -> Declined:
     retry_after_s = state.crashes.retry_after_s(request.fingerprint, now)
     message = "this request crashed the leaves that ran it"
-    return Declined(
-        request.req_id, request.request_id, ResultCode.HELD, message, False, retry_after_s
-    )
+    return _decline(request, ResultCode.HELD, message, retry_after_s)
 
 
 def _start_pending(state: EdgeState, now: float) -> list[Effect]:
@@ -93,9 +91,22 @@
     return effects
 
 
-def _decline(request: CallerRequest, code: ResultCode, message: str) -> Declined:
-    retry_after_s = 0.0 if code is ResultCode.UNKNOWN_ROUTE else NOT_READY_RETRY_S
-    return Declined(request.req_id, request.request_id, code, message, False, retry_after_s)
+def _decline(
+    request: CallerRequest, code: ResultCode, message: str, retry_after_s: float
+) -> Declined:
+    return Declined(
+        req_id=request.req_id,
+        request_id=request.request_id,
+        code=code,
+        message=message,
+        ran=False,
+        retry_after_s=retry_after_s,
+        fingerprint=request.fingerprint,
+    )
+
+
+def _decline_not_loaded(request: CallerRequest) -> Declined:
+    return _decline(request, ResultCode.NOT_CONFIGURED, NOT_LOADED, NOT_READY_RETRY_S)
 
 
 def _caller_gone(state: EdgeState, event: ev.CallerGone, now: float) -> list[Effect]:
@@ -244,7 +255,7 @@
         return []
     state.store_lost_at_start = True
     pending = state.pending_requests.take_all()
-    return [_decline(one.request, ResultCode.NOT_CONFIGURED, NOT_LOADED) for one in pending]
+    return [_decline_not_loaded(one.request) for one in pending]
 
 
 def _store_back(state: EdgeState, event: ev.StoreBack, now: float) -> list[Effect]:
@@ -275,14 +286,13 @@
         return effects
     state.housekeeping_at = now + HOUSEKEEPING_S
     effects += [
-        _decline(pending.request, ResultCode.NOT_CONFIGURED, NOT_LOADED)
-        for pending in state.pending_requests.take_overdue(now)
+        _decline_not_loaded(pending.request) for pending in state.pending_requests.take_overdue(now)
     ]
     state.budget.nodes = state.member_count(now)
     effects += _sweep(state, now)
     effects += _keep_connections(state, now)
     effects += [LogEvent(change) for change in state.fleet.take_availability_changes(now)]
-    effects += [LogEvent(held) for held in state.crashes.collect_crashes(now)]
+    effects += [LogEvent(found) for found in state.crashes.collect_crashes(now)]
     effects += _send_hints(state)
     effects += _send_crashes(state, now)
     effects += advance_rollouts(state, now)
@@ -310,8 +320,8 @@
 
 
 def _crashes_heard(state: EdgeState, event: ev.CrashesHeard, now: float) -> list[Effect]:
-    state.crashes.merge(event.snapshot, now)
-    return []
+    learned = state.crashes.merge(event.snapshot, now)
+    return [LogEvent(learned)] if learned is not None else []
 
 
 def _hints_heard(state: EdgeState, event: ev.HintsHeard, now: float) -> list[Effect]:
--- a/packages/cactussaddle-core/src/cactussaddle_core/fanout/effects.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/effects.py
@@ -49,7 +49,10 @@
 
 
 class Declined(NamedTuple):
-    """Effect: answer without a result; `ran` means that some leaf may have run the request."""
+    """Effect: answer without a result; `ran` means that some leaf may have run the request.
+
+    `query` is None if the request was refused before it started; `fingerprint` is then its own.
+    """
 
     req_id: int
     request_id: str
@@ -58,6 +61,7 @@
     ran: bool
     retry_after_s: float
     query: Query | None = None
+    fingerprint: str = ""
 
 
 class ProbeLeaf(NamedTuple):
--- a/packages/cactussaddle-core/src/cactussaddle_core/fanout/trace.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/trace.py
@@ -33,6 +33,7 @@
     is_complete = answered == len(query.parts) and took_ms <= objective_ms
     return RequestEnded(
         request=query.request.request_id,
+        fingerprint=query.request.fingerprint,
         route=query.route.name,
         result=_result(answer, query),
         message=answer.message if isinstance(answer, Declined) else "",
--- a/packages/cactussaddle-core/src/cactussaddle_core/fleet/leaf.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fleet/leaf.py
@@ -30,6 +30,8 @@
 FAULT_HALF_LIFE_S = 2.0
 # A call broken within this time before its leaf was found down may have crashed the leaf.
 BROKEN_CALL_RETENTION_S = 2.0
+# A leaf that crashed silently is known to be gone after three missed heartbeats and the store's lag.
+UNANSWERED_CALL_RETENTION_S = 8.0
 INITIAL_SUSPECT_BACKOFF_S = 0.3
 MAX_SUSPECT_BACKOFF_S = 2.0
 
@@ -41,7 +43,8 @@
     pending call to the time from which it is overdue. `connect_s` is the shortest connect time
     seen, about one round trip. `connection_limit` is the number of connections that this node may open to it.
     `displaced` is set when another leaf answers at its address. `broken` holds the time and request
-    fingerprint of calls that broke recently.
+    fingerprint of calls that broke recently, `unanswered` those of calls that this node ended after
+    the leaf had sent nothing since they left.
     """
 
     def __init__(self, *, entry: LeafEntry, probes: ProbePlan, now: float) -> None:
@@ -55,6 +58,7 @@
         self.connection_limit = 1
         self.displaced = False
         self.broken: list[tuple[float, str]] = []
+        self.unanswered: list[tuple[float, str]] = []
         self.connect_s: float | None = None
         self.load: Load | None = None
         self.load_at = -math.inf
@@ -152,6 +156,17 @@
         self.broken.append((now, fingerprint))
         self.probes.schedule(self.name, now)
 
+    def record_unanswered_call(self, fingerprint: str, now: float) -> None:
+        """Record that this node ended a call of the request, and the leaf had sent nothing since."""
+        since = now - UNANSWERED_CALL_RETENTION_S
+        self.unanswered = [entry for entry in self.unanswered if entry[0] > since]
+        self.unanswered.append((now, fingerprint))
+
+    def recently_unanswered(self, now: float) -> list[str]:
+        """Return the fingerprints of the requests whose calls were recently ended unanswered."""
+        since = now - UNANSWERED_CALL_RETENTION_S
+        return [entry[1] for entry in self.unanswered if entry[0] > since]
+
     def recently_broken(self, now: float) -> list[str]:
         """Return the fingerprints of the requests whose calls broke recently."""
         return [entry[1] for entry in self.broken if now - entry[0] < BROKEN_CALL_RETENTION_S]
--- a/packages/cactussaddle-core/src/cactussaddle_core/hold/table.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/hold/table.py
@@ -191,6 +191,12 @@
         _trim(self.suspects, MAX_SUSPECTS)
         _trim(self.crashes, MAX_CRASHES)
 
+    def knows(self, strike: Strike) -> bool:
+        """Return whether a crash report is already known."""
+        suspect = self.suspects.get(strike.fingerprint)
+        crash = Crash(strike.leaf, strike.incarnation)
+        return crash in suspect.crashes if suspect is not None else crash in self.crashes
+
     def verdict(self, fingerprint: str, now: float) -> Verdict:
         """Return how `fingerprint` may run; for a request that is no suspect this is one lookup."""
         suspect = self.suspects.get(fingerprint)
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/daemon.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/daemon.py
@@ -157,8 +157,19 @@
         self.log.write(log.Breach(breach.promise.value, breach.detail), trio.current_time())
 
     def note(self, effect: fx.LogEvent) -> None:
-        """Log the event of a note."""
-        self.log.write(effect.event, trio.current_time())
+        """Log the event of a note, and count it if there is a counter for it."""
+        event = effect.event
+        self.log.write(event, trio.current_time())
+        if isinstance(event, log.LeafCrashed):
+            self.metrics.count(
+                "cactussaddle_crash_reports_total", {"source": "own"}, event.requests
+            )
+        elif isinstance(event, log.CrashesLearned):
+            self.metrics.count(
+                "cactussaddle_crash_reports_total", {"source": "peer"}, event.requests
+            )
+        elif isinstance(event, log.RequestHeld):
+            self.metrics.count("cactussaddle_requests_held_total", {})
 
     def gauges(self, registry_age_s: float, store_calls: int) -> dict[str, dict[str, float]]:
         """Return the current values of the gauge metrics."""
@@ -190,7 +201,7 @@
             declined = fanfx.Declined(number, "", ResultCode.BAD_REQUEST, decoded, False, 0.0)
             connection.answer(number, callers.encode_declined(declined))
             self.log.write(
-                log.RequestRefused("", declined.code.name, decoded, 0.0), trio.current_time()
+                log.RequestRefused("", "", declined.code.name, decoded, 0.0), trio.current_time()
             )
             return
         self._connections[number] = connection
@@ -227,7 +238,9 @@
             self._log_request_end(effect, effect.query)
             return
         retry_ms = round(effect.retry_after_s * 1000.0, 1)
-        event = log.RequestRefused(effect.request_id, effect.code.name, effect.message, retry_ms)
+        event = log.RequestRefused(
+            effect.request_id, effect.fingerprint, effect.code.name, effect.message, retry_ms
+        )
         self.log.write(event, trio.current_time())
         self.metrics.answered("none", event.result, 0.0)
 
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/metrics.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/metrics.py
@@ -22,6 +22,8 @@
     "cactussaddle_answers_total": "Answers by route and result.",
     "cactussaddle_extra_calls_total": "Calls beyond the first of a part, by reason.",
     "cactussaddle_breaches_total": "Broken promises by name.",
+    "cactussaddle_crash_reports_total": "Requests running on leaves that went down, by source.",
+    "cactussaddle_requests_held_total": "Requests newly held because they crash leaves.",
     "cactussaddle_errors_total": "Faults of the program, by the event that met one.",
 }
 GAUGES: Mapping[str, str] = {
--- a/tests/core/edge/test_crashes.py
+++ b/tests/core/edge/test_crashes.py
@@ -5,6 +5,7 @@
 from cactussaddle_core.edge import effects as fx
 from cactussaddle_core.edge import events as ev
 from cactussaddle_core.edge.crashes import CrashTracker
+from cactussaddle_core.edge.logevents import LeafCrashed
 from cactussaddle_core.fanout.model import CallEnding
 from cactussaddle_core.fleet.fleet import Fleet
 from cactussaddle_core.fleet.model import Availability
@@ -91,7 +92,8 @@
     def test_the_loss_of_many_leaves_at_once_holds_no_request(self):
         for number in range(8):
             self.mark_down(f"s{number}", DOMAINS[0], ["bystander"] if number < 3 else [], 20.0)
-        self.assertEqual(self.tracker.collect_crashes(20.1), [])
+        found = self.tracker.collect_crashes(20.1)
+        self.assertEqual([type(event) for event in found], [LeafCrashed] * 3)
         self.assertFalse(self.tracker.is_held("bystander", 21.0))
 
     def test_a_restart_under_the_same_id_counts_as_a_crash(self):
--- a/tests/core/edge/test_edge.py
+++ b/tests/core/edge/test_edge.py
@@ -186,7 +186,7 @@
 
     def test_failed_and_late_requests_have_a_higher_log_priority(self):
         good = log.RequestEnded(
-            "r", "route", "COMPLETE", "", 10.0, 100.0, 90.0, 1, 1, 1, 0, 0, 1, 0.0, 0.0, ()
+            "r", "f", "route", "COMPLETE", "", 10.0, 100.0, 90.0, 1, 1, 1, 0, 0, 1, 0.0, 0.0, ()
         )
         self.assertEqual(log.log_priority(good), log.LogPriority.ROUTINE)
         self.assertEqual(log.log_priority(good._replace(took_ms=200.0)), log.LogPriority.FAILURE)
--- a/tests/node/edge/test_eventlog.py
+++ b/tests/node/edge/test_eventlog.py
@@ -69,7 +69,7 @@
     def test_failures_have_room_when_routine_has_none(self):
         for number in range(500):
             self.log.write(standing(number), 1.0)
-        self.log.write(log.RequestRefused("r1", "NOT_RUN", "why", 300.0), 1.0)
+        self.log.write(log.RequestRefused("r1", "f", "NOT_RUN", "why", 300.0), 1.0)
         self.log.flush(1.0)
         self.assertIn("r1", [line.get("request") for line in self.lines()])
 
@@ -78,7 +78,7 @@
         for step in range(1000):
             now = step * 0.01
             for number in range(20):
-                self.log.write(log.RequestRefused(f"r{number}", "NOT_RUN", "why", 1.0), now)
+                self.log.write(log.RequestRefused(f"r{number}", "f", "NOT_RUN", "why", 1.0), now)
             self.log.flush(now)
             count += len(self.lines())
         self.assertLessEqual(count, BURST_LINES + 10.0 * LINES_PER_S + 2)
