--- /dev/null
+++ b/tests/core/edge/crashworld.py
@@ -0,0 +1,217 @@
+"""Several nodes and their leaves on one virtual clock, and requests that end the leaves running them."""
+
+from __future__ import annotations
+
+import random
+
+from collections import defaultdict
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import NamedTuple
+
+from cactussaddle_core.edge import effects as fx
+from cactussaddle_core.edge import events as ev
+from cactussaddle_core.fanout import model as fan
+from cactussaddle_core.fleet.probing import ProbeOutcome
+from cactussaddle_core.fleet.probing import ProbeResult
+from cactussaddle_core.spread.model import Member
+from tests.core.edge.leafbehavior import CallOutcome
+from tests.core.edge.world import DOMAINS
+from tests.core.edge.world import World
+from tests.core.edge.world import entry
+from tests.core.edge.world import leaf_name
+
+if TYPE_CHECKING:
+    from cactussaddle_core.fleet.model import LeafEntry
+
+STEP_S = 0.005
+DATAGRAM_S = 0.02
+REGISTRY_LAG_S = 0.8
+ENTRY_EXPIRY_S = 3.6
+DOWN_S = 4.5
+POISON = "poison"
+REFUSED = ProbeResult(ProbeOutcome.NOT_CONNECTED, "", False, None, 0.0)
+SILENT = ProbeResult(ProbeOutcome.SILENT, "", False, None, 0.0)
+
+
+class Run(NamedTuple):
+    """A request that a leaf began to run: when, at which node and leaf, and its fingerprint."""
+
+    at: float
+    attempt: tuple[str, int]
+    leaf: str
+    fingerprint: str
+
+
+class Node(World):
+    """One node of a `CrashWorld`; its calls run on the leaves that all nodes share."""
+
+    def __init__(self, *, world: CrashWorld, number: int, nodes: int, loaded: bool = True) -> None:
+        self.world = world
+        super().__init__(seed=number + 1, nodes=nodes, number=number, loaded=loaded)
+
+    @property
+    def name(self) -> str:
+        return self.state.me.node
+
+    def members(self, count: int) -> tuple[Member, ...]:
+        return tuple(
+            Member(f"node-{n}", "127.0.0.1", 1, DOMAINS[n % len(DOMAINS)]) for n in range(count)
+        )
+
+    def leaves(self) -> tuple[LeafEntry, ...]:
+        more = [
+            entry("orders", domain, leaf=leaf_name(f"orders.{copy}", domain))
+            for copy in range(self.world.order_copies)
+            for domain in DOMAINS
+        ]
+        return (*super().leaves(), *more)
+
+    def _send(self, call: Any) -> None:
+        leaf = call.leaf.name
+        if not self.world.is_down(leaf):
+            super()._send(call)
+            self.world.begin(self, call)
+            return
+        self._calls[call.call_id] = call
+        if self.world.silent:
+            self.later(0.0, ev.CallLeft(call.call_id))
+        else:
+            self.answer_call(
+                call, CallOutcome(0.0, fan.CallEnding.NOT_SENT), self._trip_s(call.leaf)
+            )
+
+    def _probe(self, leaf: Any) -> None:
+        if not self.world.is_down(leaf.name):
+            super()._probe(leaf)
+        elif self.world.silent:
+            self.later(0.8, ev.ProbeEnded(leaf.name, SILENT))
+        else:
+            self.later(self._trip_s(leaf), ev.ProbeEnded(leaf.name, REFUSED))
+
+    def _carry_out(self, effect: Any) -> None:
+        super()._carry_out(effect)
+        self.world.carry_out(self, effect)
+
+
+class CrashWorld:
+    """`nodes` nodes over the same leaves.
+
+    A leaf that begins to run a request with the fingerprint `POISON` ends, with all its calls; it is
+    back after `DOWN_S`. If `silent`, its connections and probes then get no answer at all. Datagrams
+    are lost with the probability `loss`. The unsharded service has `order_copies` leaves more in each
+    domain.
+    """
+
+    def __init__(
+        self, *, nodes: int = 6, silent: bool = False, loss: float = 0.0, order_copies: int = 3
+    ) -> None:
+        self.silent = silent
+        self.loss = loss
+        self.order_copies = order_copies
+        self.rng = random.Random(1)
+        self.down_until: dict[str, float] = {}
+        self.born: dict[str, int] = defaultdict(lambda: 1)
+        self.runs: list[Run] = []
+        self.crashes: list[tuple[float, str]] = []
+        self._open: dict[str, list[tuple[Node, Any]]] = defaultdict(list)
+        self.nodes: list[Node] = []
+        self._count = nodes
+        for number in range(nodes):
+            self.nodes.append(Node(world=self, number=number, nodes=nodes, loaded=False))
+        for node in self.nodes:
+            node.load_all()
+        self.run(2.0)
+
+    @property
+    def now(self) -> float:
+        return self.nodes[0].now
+
+    def run(self, seconds: float) -> None:
+        for _ in range(round(seconds / STEP_S)):
+            for node in self.nodes:
+                node.run(STEP_S)
+
+    def ask(self, number: int, target: bytes, fingerprint: str) -> tuple[str, int]:
+        node = self.nodes[number % len(self.nodes)]
+        return (node.name, node.ask(target, fingerprint=fingerprint))
+
+    def answer(self, attempt: tuple[str, int]) -> Any:
+        node = next(node for node in self.nodes if node.name == attempt[0])
+        return node.done.get(attempt[1])
+
+    def is_down(self, leaf: str) -> bool:
+        return self.now < self.down_until.get(leaf, 0.0)
+
+    def begin(self, node: Node, call: Any) -> None:
+        """A leaf begins to run a call."""
+        leaf = call.leaf.name
+        request = call.part.query.request
+        self.runs.append(Run(self.now, (node.name, request.req_id), leaf, request.fingerprint))
+        self._open[leaf] = [pair for pair in self._open[leaf] if pair[1].ending is None]
+        self._open[leaf].append((node, call))
+        if request.fingerprint == POISON:
+            self.crash(leaf)
+
+    def crash(self, leaf: str) -> None:
+        """End a leaf with all its calls; start it again after `DOWN_S`."""
+        self.crashes.append((self.now, leaf))
+        self.down_until[leaf] = self.now + DOWN_S
+        self.born[leaf] += 1
+        for node, call in self._open.pop(leaf, []):
+            node.forget_answer(call)
+            if not self.silent:
+                broken = CallOutcome(0.0, fan.CallEnding.BROKEN)
+                node.answer_call(call, broken, node._trip_s(call.leaf))
+        service, _, domain = leaf.rpartition("-")
+        back = entry(service.split(".")[0], domain, leaf=leaf, born_ms=self.born[leaf])
+        for node in self.nodes:
+            node.later(ENTRY_EXPIRY_S + REGISTRY_LAG_S, ev.LeafRemoved(leaf))
+            node.later(DOWN_S + REGISTRY_LAG_S, ev.LeafChanged(back))
+
+    def crash_service(self, service: str) -> None:
+        for domain in DOMAINS:
+            self.crash(leaf_name(service, domain))
+
+    def restart_nodes(self) -> None:
+        """Replace all nodes by new processes that know nothing of before."""
+        now = self.now
+        self.nodes = [
+            Node(world=self, number=number, nodes=self._count, loaded=False)
+            for number in range(self._count)
+        ]
+        for node in self.nodes:
+            node.now = now
+            node.load_all()
+        self._open.clear()
+
+    def carry_out(self, node: Node, effect: Any) -> None:
+        if isinstance(effect, fx.SendCrashes):
+            self._datagram(effect.members, ev.CrashesHeard(effect.snapshot))
+        elif isinstance(effect, fx.SendHints):
+            self._datagram(effect.members, ev.HintsHeard(effect.hints))
+
+    def _datagram(self, members: Any, event: ev.Event) -> None:
+        names = {member.node for member in members}
+        for node in self.nodes:
+            if node.name in names and self.rng.random() >= self.loss:
+                node.later(DATAGRAM_S, event)
+
+    def late_retries(self, window_s: float) -> int:
+        """Return how many attempts of the poison reached leaves later than `window_s` after the third crash."""
+        if len(self.crashes) < 3:
+            return 0
+        from_s = self.crashes[2][0] + window_s
+        late = {run.attempt for run in self.runs if run.fingerprint == POISON and run.at > from_s}
+        return len(late)
+
+
+def send_poison(
+    world: CrashWorld, every_s: float, seconds: float, target: bytes = b"/o/1"
+) -> list[tuple[str, int]]:
+    """Send the poison through the nodes in turn; return the attempts."""
+    attempts = []
+    for number in range(round(seconds / every_s)):
+        attempts.append(world.ask(number, target, POISON))
+        world.run(every_s)
+    return attempts
