--- a/tests/core/edge/test_crashes_fleet.py
+++ b/tests/core/edge/test_crashes_fleet.py
@@ -36,18 +36,24 @@
         self.check(world)
 
     def test_leaves_that_fall_silent_leave_no_record_of_the_crash(self):
-        for target in (b"/o/1", b"/s/x"):
-            with self.subTest(target=target):
-                world = CrashWorld(nodes=9, silent=True)
-                send_poison(world, 0.3, 24.0, target)
-                self.check(world)
+        world = CrashWorld(nodes=9, silent=True)
+        send_poison(world, 0.3, 24.0)
+        self.check(world)
+
+    def test_shards_that_fall_silent_leave_no_record_of_the_crash(self):
+        world = CrashWorld(nodes=9, silent=True)
+        send_poison(world, 0.3, 24.0, b"/s/x")
+        self.check(world)
 
     def test_nodes_that_get_no_datagrams_do_not_know_of_the_crashes(self):
-        for target in (b"/o/1", b"/s/x"):
-            with self.subTest(target=target):
-                world = CrashWorld(nodes=9, loss=1.0)
-                send_poison(world, 0.3, 24.0, target)
-                self.check(world)
+        world = CrashWorld(nodes=9, loss=1.0)
+        send_poison(world, 0.3, 24.0)
+        self.check(world)
+
+    def test_nodes_that_get_no_datagrams_do_not_know_of_crashed_shards(self):
+        world = CrashWorld(nodes=9, loss=1.0)
+        send_poison(world, 0.3, 24.0, b"/s/x")
+        self.check(world)
 
     def test_nodes_that_have_all_restarted_have_forgotten_the_crashes(self):
         world = CrashWorld()
