Suspects run as trials that the store permits, instead of being allowed or held by one node's memory

Cause: what has to hold for the fleet rested on one process's memory, on unacknowledged messages and on a silence since the last crash; and a crash alone was the verdict, with no way to tell guilty from innocent.

Change: with two crashes against it a request becomes a suspect, at once, with a record in the platform's store. It runs only with a permit: a conditional write that counts the trial, so one runs at a time over all nodes, at one leaf first, without retry or hedge. A trial that ends well removes the record, which frees the request on all nodes; after others the next waits 30 s, then 600 s. Nodes read the records as they read the configuration, so a restart or a cut forgets nothing. A permit whose answer was lost is given back when its record is seen.

--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/crashes.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/crashes.py
@@ -1,4 +1,4 @@
-"""Detection of requests that crash the leaves running them; such requests are held on all nodes."""
+"""Detection of requests that crash the leaves running them; such requests run only as trials."""
 
 from __future__ import annotations
 
@@ -12,44 +12,55 @@
 from cactussaddle_core.hold.table import HoldSnapshot
 from cactussaddle_core.hold.table import HoldTable
 from cactussaddle_core.hold.table import Verdict
+from cactussaddle_core.hold.trials import TrialOutcome
+from cactussaddle_core.hold.trials import TrialRecord
+from cactussaddle_core.hold.trials import Trials
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from cactussaddle_core.fanout.model import CallerRequest
     from cactussaddle_core.fleet.fleet import Fleet
     from cactussaddle_core.fleet.leaf import Leaf
     from cactussaddle_core.hold.table import Clearance
     from cactussaddle_core.hold.table import Strike
+    from cactussaddle_core.hold.trials import TrialEnded
+    from cactussaddle_core.hold.trials import WriteTrial
 
 # Each record is broadcast this many times, since messages may be lost.
 BROADCAST_REPEATS = 3
-# Within this time after a crash, the other leaves lost in the same event are detected as well.
-SETTLE_S = 0.6
 BROADCAST_INTERVAL_S = 0.3
+# How long a request is watched after a crash for becoming a suspect by crashes elsewhere.
+WATCH_S = 5.0
 
 
 class CrashTracker:
-    """The crash records known to this node, and the broadcasts of them that are still due."""
+    """The crash records known to this node, the broadcasts still due, and the trials of suspects."""
 
-    def __init__(self, *, node: str, fleet: Fleet) -> None:
+    def __init__(self, *, node: str, fleet: Fleet, incarnation: str = "") -> None:
         self._fleet = fleet
         self._book = HoldTable(node=node, service_of=self._service_of)
+        self.trials = Trials(node=node, incarnation=incarnation)
         self._watched: dict[str, str] = {}
+        self._unstored: set[str] = set()
         self._broadcasts_left = 0
         self._broadcast_counts: Counter[Strike | Clearance] = Counter()
         self._next_broadcast_at = 0.0
 
     def is_held(self, fingerprint: str, now: float) -> bool:
-        """Return whether a request must not run.
+        """Return whether a request may run only as a trial."""
+        if self.trials.has_record(fingerprint):
+            return True
+        return self._book.verdict(fingerprint, now) is Verdict.HOLD
 
-        Right after a crash it is still unknown whether many leaves were lost at once, so a request
-        is not held until `SETTLE_S` after the last one.
-        """
-        if self._book.verdict(fingerprint, now) is not Verdict.HOLD:
-            return False
-        return self._book.last_crash_age_s(fingerprint, now) >= SETTLE_S
+    def trial_wait_s(self, fingerprint: str, now: float) -> float:
+        """Return the time after which a held request may be tried; 0 if it may be now."""
+        return self.trials.wait_s(fingerprint, self._book.last_crash_age_s(fingerprint, now), now)
 
-    def retry_after_s(self, fingerprint: str, now: float) -> float:
-        """Return the time after which a held request may be retried."""
-        return self._book.retry_after_s(fingerprint, now)
+    def apply_for_trial(self, request: CallerRequest, arrived_at: float, now: float) -> WriteTrial:
+        """Ask the store for the permit to try a held request."""
+        services = self._book.implicated(request.fingerprint)
+        return self.trials.apply(request, services, arrived_at, now)
 
     def record_success(self, fingerprint: str, leaf: str, now: float) -> None:
         """Record that a leaf has run a request to completion."""
@@ -74,13 +85,49 @@
         return [*events, *self._newly_held(now)]
 
     def _newly_held(self, now: float) -> list[RequestHeld]:
-        held = [name for name in self._watched if self.is_held(name, now)]
-        events = [RequestHeld(name, self._watched[name]) for name in held]
-        for name in list(self._watched):
-            if name in held or self._book.last_crash_age_s(name, now) > 2.0 * SETTLE_S:
-                del self._watched[name]
+        events = []
+        for fingerprint, leaf in list(self._watched.items()):
+            if self.is_held(fingerprint, now):
+                events.append(RequestHeld(fingerprint, leaf))
+                self._unstored.add(fingerprint)
+                del self._watched[fingerprint]
+            elif self._book.last_crash_age_s(fingerprint, now) > WATCH_S:
+                del self._watched[fingerprint]
         return events
 
+    def advance_trials(self, open_requests: Iterable[int], now: float) -> list[TrialEnded]:
+        """End the trials whose queries are answered, and acquit the requests found harmless."""
+        ended = self.trials.conclude(open_requests, now)
+        for trial in ended:
+            if trial.outcome is TrialOutcome.HARMLESS:
+                self._book.acquit(trial.fingerprint)
+        self._store_suspects(now)
+        self.trials.expire(now)
+        return ended
+
+    def _store_suspects(self, now: float) -> None:
+        """Have the records of new suspects written; those with the most crashes come first."""
+        self._unstored = {
+            name
+            for name in self._unstored
+            if self.is_held(name, now) and not self.trials.has_record(name)
+        }
+        if not self._unstored:
+            return
+        ranked = sorted(self._unstored, key=lambda name: (-self._book.crash_count(name), name))
+        records = [TrialRecord(name, 0, self._book.implicated(name), 0) for name in ranked]
+        self.trials.store_suspects(records, now)
+
+    def record_removed(self, fingerprint: str, revision: int) -> None:
+        """Acquit a request whose record was removed, as a trial on some node has ended well."""
+        if self.trials.removed(fingerprint, revision):
+            self._book.acquit(fingerprint)
+
+    def records_listed(self, records: Iterable[TrialRecord], now: float) -> None:
+        """Apply a complete listing of the records in the store."""
+        for fingerprint in self.trials.listed(records, now):
+            self._book.acquit(fingerprint)
+
     def merge(self, snapshot: HoldSnapshot, now: float) -> CrashesLearned | None:
         """Merge the records of another node; return what was new, or None."""
         new = [strike for strike in snapshot.strikes if not self._book.knows(strike)]
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/effects.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/effects.py
@@ -8,6 +8,8 @@
 from typing import TypeAlias
 
 from cactussaddle_core.fanout.effects import FanoutEffect
+from cactussaddle_core.hold.trials import RemoveTrial
+from cactussaddle_core.hold.trials import WriteTrial
 from cactussaddle_core.rollouts.model import RecordRollout
 
 if TYPE_CHECKING:
@@ -97,6 +99,8 @@
     | SendEvidence
     | SendLeaderUpdate
     | RecordRollout
+    | WriteTrial
+    | RemoveTrial
     | CloseIdle
     | EndProcess
 )
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/events.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/events.py
@@ -16,6 +16,8 @@
     from cactussaddle_core.fleet.model import LeafEntry
     from cactussaddle_core.fleet.probing import ProbeResult
     from cactussaddle_core.hold.table import HoldSnapshot
+    from cactussaddle_core.hold.trials import TrialRecord
+    from cactussaddle_core.hold.trials import WriteTrial
     from cactussaddle_core.rollouts.model import LeaderUpdate
     from cactussaddle_core.rollouts.model import RolloutOrder
     from cactussaddle_core.rollouts.model import RolloutStatus
@@ -165,6 +167,32 @@
     snapshot: HoldSnapshot
 
 
+class TrialSeen(NamedTuple):
+    """A suspect's record was written to the store."""
+
+    record: TrialRecord
+
+
+class TrialRemoved(NamedTuple):
+    """A suspect's record was removed from the store, as of `revision`."""
+
+    fingerprint: str
+    revision: int
+
+
+class TrialsListed(NamedTuple):
+    """The complete list of suspects' records in the store."""
+
+    records: tuple[TrialRecord, ...]
+
+
+class TrialWritten(NamedTuple):
+    """The store has answered a write, or not in time; `revision` is None unless it was carried out."""
+
+    write: WriteTrial
+    revision: int | None
+
+
 class RecordRejected(NamedTuple):
     """A record in the store could not be decoded."""
 
@@ -235,6 +263,10 @@
     | RolloutNewsHeard
     | HintsHeard
     | CrashesHeard
+    | TrialSeen
+    | TrialRemoved
+    | TrialsListed
+    | TrialWritten
     | RecordRejected
     | StoreLost
     | StoreBack
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/logevents.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/logevents.py
@@ -268,12 +268,27 @@
 
 
 class RequestHeld(NamedTuple):
-    """A request, given by fingerprint, is held: it crashed the leaves that ran it, `leaf` the last."""
+    """A request, given by fingerprint, may run only as a trial: leaves went down under it, `leaf` last."""
 
     fingerprint: str
     leaf: str
 
 
+class SuspectTried(NamedTuple):
+    """A held request was tried; `trials` counts this trial and those before that did not end well."""
+
+    fingerprint: str
+    outcome: str
+    trials: int
+
+
+class TrialWriteFailed(NamedTuple):
+    """A held request's record could not be written or removed; it is not tried, or written again."""
+
+    fingerprint: str
+    reason: str
+
+
 class CallerLeft(NamedTuple):
     """A caller closed its connection before the answer; its calls were cancelled."""
 
@@ -345,6 +360,8 @@
     LeafCrashed,
     CrashesLearned,
     RequestHeld,
+    SuspectTried,
+    TrialWriteFailed,
     CallerLeft,
     Breach,
     UnexpectedError,
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/reduce.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/reduce.py
@@ -29,6 +29,7 @@
 from cactussaddle_core.fleet.applyhints import apply_hints
 from cactussaddle_core.fleet.probing import apply_probe_result
 from cactussaddle_core.fleet.probing import due_probes
+from cactussaddle_core.hold.trials import RETRY_AFTER_S
 from cactussaddle_core.invariants import Promise
 from cactussaddle_core.invariants import require
 from cactussaddle_core.spread.tree import tree_position
@@ -61,23 +62,79 @@
 
 def _start_request(
     state: EdgeState, request: CallerRequest, arrived_at: float, now: float
+) -> list[Effect]:
+    if not state.crashes.is_held(request.fingerprint, now):
+        return _begin_query(state, request, arrived_at, now)
+    wait_s = state.crashes.trial_wait_s(request.fingerprint, now)
+    if wait_s > 0.0:
+        return [_decline_held(request, wait_s)]
+    return [state.crashes.apply_for_trial(request, arrived_at, now)]
+
+
+def _begin_query(
+    state: EdgeState,
+    request: CallerRequest,
+    arrived_at: float,
+    now: float,
+    trial_of: frozenset[str] | None = None,
 ) -> list[Effect]:
     table = state.current_table.table
     assert table is not None
-    if state.crashes.is_held(request.fingerprint, now):
-        return [_decline_held(state, request, now)]
     path = request.target.split(b"?", 1)[0].decode("latin-1")
     route = table.find(request.host, path)
     if route is None:
         return [_decline(request, ResultCode.UNKNOWN_ROUTE, "no such route", 0.0)]
     services = route.shards or (state.round_robin.choose(route),)
     waited_s = now - arrived_at
-    return [*fanout.begin(state.fanout, request, route, services, table.version, waited_s, now)]
+    version = table.version
+    return [*fanout.begin(state.fanout, request, route, services, version, waited_s, now, trial_of)]
+
+
+def _trial_written(state: EdgeState, event: ev.TrialWritten, now: float) -> list[Effect]:
+    """Run a held request that the store permits to be tried."""
+    trials = state.crashes.trials
+    waiting = trials.written(event.write, event.revision, now)
+    if waiting is None:
+        return []
+    request, arrived_at = waiting
+    if event.revision is None:
+        return [_decline_held(request, RETRY_AFTER_S)]
+    trial_of = trials.services(request.fingerprint)
+    effects = _begin_query(state, request, arrived_at, now, trial_of)
+    trials.begin(request.fingerprint, state.fanout.queries.get(request.req_id))
+    return effects
+
+
+def _trial_seen(state: EdgeState, event: ev.TrialSeen, now: float) -> list[Effect]:
+    state.crashes.trials.seen(event.record, now)
+    return []
+
+
+def _trial_removed(state: EdgeState, event: ev.TrialRemoved, now: float) -> list[Effect]:
+    state.crashes.record_removed(event.fingerprint, event.revision)
+    return []
+
+
+def _trials_listed(state: EdgeState, event: ev.TrialsListed, now: float) -> list[Effect]:
+    state.crashes.records_listed(event.records, now)
+    return []
+
+
+def _advance_trials(state: EdgeState, now: float) -> list[Effect]:
+    trials = state.crashes.trials
+    effects: list[Effect] = [
+        _decline_held(request, RETRY_AFTER_S) for request in trials.take_overdue(now)
+    ]
+    ended = state.crashes.advance_trials(state.fanout.queries, now)
+    effects += [
+        LogEvent(log.SuspectTried(trial.fingerprint, trial.outcome.value, trial.trials))
+        for trial in ended
+    ]
+    return [*effects, *trials.take_due_writes(now)]
 
 
-def _decline_held(state: EdgeState, request: CallerRequest, now: float) -> Declined:
-    retry_after_s = state.crashes.retry_after_s(request.fingerprint, now)
-    message = "this request crashed the leaves that ran it"
+def _decline_held(request: CallerRequest, retry_after_s: float) -> Declined:
+    message = "leaves went down under this request"
     return _decline(request, ResultCode.HELD, message, retry_after_s)
 
 
@@ -113,6 +170,7 @@
     query = state.fanout.queries.get(event.req_id)
     if query is None:
         state.pending_requests.remove(event.req_id)
+        state.crashes.trials.caller_gone(event.req_id)
         return []
     calls = sum(len(part.open_calls) for part in query.parts)
     after_ms = round((now - query.started_at) * 1000.0, 1)
@@ -293,6 +351,7 @@
     effects += _keep_connections(state, now)
     effects += [LogEvent(change) for change in state.fleet.take_availability_changes(now)]
     effects += [LogEvent(found) for found in state.crashes.collect_crashes(now)]
+    effects += _advance_trials(state, now)
     effects += _send_hints(state)
     effects += _send_crashes(state, now)
     effects += advance_rollouts(state, now)
@@ -343,7 +402,7 @@
     effects: list[Effect] = []
     if state.stopping.must_give_up(now):
         effects += fanout.give_up(state.fanout, now)
-    requests = len(state.fanout.queries)
+    requests = len(state.fanout.queries) + state.crashes.trials.applicants()
     if not effects and state.stopping.may_exit(requests, now):
         require(
             requests == 0, Promise.GRACEFUL_STOP, f"shutdown would abort {requests} open requests"
@@ -392,6 +451,10 @@
     ev.RolloutNewsHeard: news_heard,
     ev.HintsHeard: _hints_heard,
     ev.CrashesHeard: _crashes_heard,
+    ev.TrialSeen: _trial_seen,
+    ev.TrialRemoved: _trial_removed,
+    ev.TrialsListed: _trials_listed,
+    ev.TrialWritten: _trial_written,
     ev.RecordRejected: _record_rejected,
     ev.StoreLost: _store_lost,
     ev.StoreBack: _store_back,
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/state.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/state.py
@@ -66,7 +66,7 @@
         self.members: dict[str, Member] = {}
         self.member_counts = MemberCounts()
         self.region_nodes = 1
-        self.crashes = CrashTracker(node=me.node, fleet=self.fleet)
+        self.crashes = CrashTracker(node=me.node, fleet=self.fleet, incarnation=str(seed))
         self.pending_requests = PendingRequests()
         self.store_up = False
         self.store_lost_at_start = False
--- a/packages/cactussaddle-core/src/cactussaddle_core/fanout/finish.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/finish.py
@@ -32,7 +32,7 @@
         if now >= query.answer_by or not any(part.is_waiting() for part in query.unanswered):
             return answer(state, query, now)
         return []
-    waiting = sum(1 for part in query.unanswered if part.is_waiting())
+    waiting = sum(1 for part in query.unanswered if part.is_waiting()) + len(query.held_back)
     if waiting < shortfall:
         return decline(state, query, "no untried leaf is available", now)
     return []
--- a/packages/cactussaddle-core/src/cactussaddle_core/fanout/reduce.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/reduce.py
@@ -28,6 +28,9 @@
 from cactussaddle_core.fanout.sending import uncount
 from cactussaddle_core.fanout.state import Choice
 from cactussaddle_core.fanout.state import Query
+from cactussaddle_core.fanout.trial import send_next
+from cactussaddle_core.fanout.trial import send_rest
+from cactussaddle_core.fanout.trial import start_trial
 
 if TYPE_CHECKING:
     from cactussaddle_core.fanout.effects import FanoutEffect
@@ -56,8 +59,12 @@
     table_version: int,
     waited_s: float,
     now: float,
+    trial_of: frozenset[str] | None = None,
 ) -> list[FanoutEffect]:
-    """Start a query at one leaf of each service; it was queued on this node for `waited_s`."""
+    """Start a query at one leaf of each service; it was queued on this node for `waited_s`.
+
+    `trial_of` names the services whose leaves went down under the request, if this is its trial.
+    """
     arrived_at = now - waited_s
     deadline = arrived_at + min(request.timeout_s, route.timeout_s) - DEADLINE_MARGIN_S
     lag_s = min(state.loop_lag.lag_s(now), MAX_LAG_FRACTION * route.objective_s)
@@ -81,8 +88,11 @@
         return [_refuse(query, refused.reason, refused.retry_after_s)]
     state.queries[request.req_id] = query
     effects: list[FanoutEffect] = []
-    for part in query.parts:
-        effects += send(state, part, FIRST, now)
+    if trial_of is not None:
+        effects += start_trial(state, query, trial_of, now)
+    else:
+        for part in query.parts:
+            effects += send(state, part, FIRST, now)
     state.review_at(query, answer_by)
     state.review_at(query, deadline)
     return effects + finish_if_settled(state, query, now)
@@ -126,12 +136,18 @@
     part.open_calls.remove(call)
     reply = end.reply if end.ending is CallEnding.ANSWERED else None
     if reply is not None and part.query.take_reply(part, reply):
-        return end_others(part, now) + _answer_if_enough(state, part.query, now)
+        effects = end_others(part, now)
+        if part.query.held_back:
+            effects += send_rest(state, part.query, now)
+        return effects + _answer_if_enough(state, part.query, now)
     if end.ending in NOT_RUN:
         uncount(state, call, now, arrived=end.ending not in NEVER_ARRIVED)
     if end.ending is CallEnding.FAILED:
         part.failure = end.reply
-    effects = _retry(state, part, end, now)
+    if part.query.is_trial:
+        effects = _continue_trial(state, part, end, now)
+    else:
+        effects = _retry(state, part, end, now)
     return effects + finish_if_settled(state, part.query, now)
 
 
@@ -188,6 +204,16 @@
     state.review_at(query, due)
 
 
+def _continue_trial(state: FanoutState, part: Part, end: CallEnd, now: float) -> list[FanoutEffect]:
+    """After an unanswered call of a trial, go on only if no leaf has run it."""
+    query = part.query
+    if end.ending not in NOT_RUN:
+        query.held_back = []
+        return []
+    effects = send(state, part, f"retry: {end.ending.value}", now)
+    return effects or send_next(state, query, now)
+
+
 def _retry(state: FanoutState, part: Part, end: CallEnd, now: float) -> list[FanoutEffect]:
     """Send a part whose call failed to another leaf, or schedule a retry if all leaves refused it."""
     effects = send(state, part, f"retry: {end.ending.value}", now)
--- a/packages/cactussaddle-core/src/cactussaddle_core/fanout/sending.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/sending.py
@@ -141,7 +141,8 @@
 
 def can_hedge(part: Part) -> bool:
     """Return whether the part may have another call in parallel with its open ones."""
-    return part.query.route.idempotent and part.runs < _max_runs(part)
+    query = part.query
+    return query.route.idempotent and not query.is_trial and part.runs < _max_runs(part)
 
 
 def _linger_s(call: Call, now: float) -> float:
--- a/packages/cactussaddle-core/src/cactussaddle_core/fanout/state.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/state.py
@@ -140,12 +140,15 @@
 
     From `answer_by` on, an incomplete answer is preferred to a later one. At `deadline` the query
     ends with whatever replies it has. `unanswered` lists the parts without a reply; `signatures`
-    holds the signatures of the replies received.
+    holds the signatures of the replies received. `held_back` are the parts of a trial that wait until
+    a leaf has survived the first one.
     """
 
     __slots__ = (
         "answer_by",
         "deadline",
+        "held_back",
+        "is_trial",
         "parts",
         "request",
         "review_at",
@@ -173,8 +176,10 @@
         self.answer_by = answer_by
         self.deadline = deadline
         self.review_at = math.inf
+        self.is_trial = False
         self.parts: list[Part] = []
         self.unanswered: list[Part] = []
+        self.held_back: list[Part] = []
         self.signatures: set[str] = set()
 
     def ask_services(self, services: Iterable[str]) -> None:
--- a/packages/cactussaddle-core/src/cactussaddle_core/hold/table.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/hold/table.py
@@ -225,6 +225,26 @@
             return 0.0
         return max(0.0, max(suspect.crashes.values()) + HOLD_S - now)
 
+    def implicated(self, fingerprint: str) -> tuple[str, ...]:
+        """Return the services of the leaves that went down under a suspect, sorted."""
+        suspect = self.suspects.get(fingerprint)
+        if suspect is None:
+            return ()
+        services = {self.service_of(crash.leaf) for crash in suspect.open_crashes()}
+        return tuple(sorted(services - {""}))
+
+    def crash_count(self, fingerprint: str) -> int:
+        """Return the number of a suspect's crashes that have not been cleared."""
+        suspect = self.suspects.get(fingerprint)
+        return len(suspect.open_crashes()) if suspect is not None else 0
+
+    def acquit(self, fingerprint: str) -> None:
+        """Clear all crashes of a suspect, since a trial has shown it to be harmless."""
+        suspect = self.suspects.get(fingerprint)
+        if suspect is not None:
+            suspect.has_succeeded = True
+            suspect.cleared.update(suspect.crashes)
+
     def last_crash_age_s(self, fingerprint: str, now: float) -> float:
         """Return the seconds since the newest crash of a suspect was reported; infinite without one."""
         suspect = self.suspects.get(fingerprint)
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/daemon.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/daemon.py
@@ -23,6 +23,8 @@
 from cactussaddle_core.edge.state import EdgeState
 from cactussaddle_core.fanout import effects as fanfx
 from cactussaddle_core.fanout.trace import request_ended
+from cactussaddle_core.hold.trials import RemoveTrial
+from cactussaddle_core.hold.trials import WriteTrial
 from cactussaddle_core.limits.budget import BudgetRules
 from cactussaddle_core.limits.cold import ColdRules
 from cactussaddle_core.rollouts.model import RecordRollout
@@ -49,6 +51,7 @@
     from cactussaddle_node.edge.caller import CallerConnection
     from cactussaddle_node.edge.listener import Listener
     from cactussaddle_platform.registry import RolloutRecords
+    from cactussaddle_platform.registry import TrialRecords
     from cactussaddle_platform.settings import HostSettings
 
 # Event-loop passes after which each task has read the data that was already available, so that
@@ -79,6 +82,7 @@
         )
         self.place_changed: Callable[[TreePosition], None] | None = None
         self.rollout_records: RolloutRecords | None = None
+        self.trial_records: TrialRecords | None = None
         self._nursery = nursery
         self.datagrams = Datagrams(host=cfg.ip, peer_port=cfg.peer_port, feed=self.feed)
         self.stopped = trio.Event()
@@ -283,6 +287,36 @@
         failed = log.RolloutWriteFailed(effect.order.move, effect.state.value, reason)
         self.log.write(failed, trio.current_time())
 
+    def _write_trial(self, effect: WriteTrial) -> None:
+        self._nursery.start_soon(self.guard.run_once, "trial record", self._send_trial, effect)
+
+    async def _send_trial(self, effect: WriteTrial) -> None:
+        revision = None
+        reason = "no store"
+        if self.trial_records is not None:
+            written = await self.trial_records.write(effect)
+            if isinstance(written, Failure):
+                reason = written.failure().detail
+            else:
+                revision = written.unwrap()
+                reason = "changed concurrently"
+        if revision is None:
+            self._log_trial_failure(effect.record.fingerprint, reason)
+        self.feed(ev.TrialWritten(effect, revision))
+
+    def _remove_trial(self, effect: RemoveTrial) -> None:
+        self._nursery.start_soon(self.guard.run_once, "trial record", self._send_removal, effect)
+
+    async def _send_removal(self, effect: RemoveTrial) -> None:
+        if self.trial_records is None:
+            return
+        removed = await self.trial_records.remove(effect)
+        if isinstance(removed, Failure):
+            self._log_trial_failure(effect.fingerprint, removed.failure().detail)
+
+    def _log_trial_failure(self, fingerprint: str, reason: str) -> None:
+        self.log.write(log.TrialWriteFailed(fingerprint, reason), trio.current_time())
+
     def _end_process(self, effect: fx.EndProcess) -> None:
         if self._listener is None or self._listener.end(forced=effect.forced):
             self.stopped.set()
@@ -310,6 +344,8 @@
     fx.SendEvidence: lambda daemon, effect: daemon.datagrams.send_evidence(effect),
     fx.SendLeaderUpdate: lambda daemon, effect: daemon.datagrams.send_news(effect),
     RecordRollout: EdgeDaemon._record_rollout,
+    WriteTrial: EdgeDaemon._write_trial,
+    RemoveTrial: EdgeDaemon._remove_trial,
     fx.EndProcess: EdgeDaemon._end_process,
 }
 
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/serve.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/serve.py
@@ -34,6 +34,7 @@
 from cactussaddle_platform.registry import NodeEntry
 from cactussaddle_platform.registry import RolloutRecords
 from cactussaddle_platform.registry import StoreFeed
+from cactussaddle_platform.registry import TrialRecords
 
 if TYPE_CHECKING:
     import socket
@@ -64,6 +65,7 @@
         )
         store = KvStore(address=cfg.store.address._replace(local_host=cfg.ip), nursery=nursery)
         daemon.rollout_records = RolloutRecords(store=store)
+        daemon.trial_records = TrialRecords(store=store)
         follower = Follower(
             store=StoreFeed(store=store),
             peers=PeerClient(nursery=nursery, local_host=cfg.ip),
--- a/tests/core/edge/crashworld.py
+++ b/tests/core/edge/crashworld.py
@@ -14,6 +14,9 @@
 from cactussaddle_core.fanout import model as fan
 from cactussaddle_core.fleet.probing import ProbeOutcome
 from cactussaddle_core.fleet.probing import ProbeResult
+from cactussaddle_core.hold.trials import RemoveTrial
+from cactussaddle_core.hold.trials import TrialRecord
+from cactussaddle_core.hold.trials import WriteTrial
 from cactussaddle_core.spread.model import Member
 from tests.core.edge.leafbehavior import CallOutcome
 from tests.core.edge.world import DOMAINS
@@ -27,6 +30,8 @@
 STEP_S = 0.005
 DATAGRAM_S = 0.02
 REGISTRY_LAG_S = 0.8
+STORE_S = 0.01
+WATCH_LAG_S = 0.5
 ENTRY_EXPIRY_S = 3.6
 DOWN_S = 4.5
 POISON = "poison"
@@ -114,6 +119,8 @@
         self.born: dict[str, int] = defaultdict(lambda: 1)
         self.runs: list[Run] = []
         self.crashes: list[tuple[float, str]] = []
+        self.records: dict[str, TrialRecord] = {}
+        self.revision = 0
         self._open: dict[str, list[tuple[Node, Any]]] = defaultdict(list)
         self.nodes: list[Node] = []
         self._count = nodes
@@ -183,6 +190,7 @@
         for node in self.nodes:
             node.now = now
             node.load_all()
+            node.feed(ev.TrialsListed(tuple(self.records.values())))
         self._open.clear()
 
     def carry_out(self, node: Node, effect: Any) -> None:
@@ -190,6 +198,35 @@
             self._datagram(effect.members, ev.CrashesHeard(effect.snapshot))
         elif isinstance(effect, fx.SendHints):
             self._datagram(effect.members, ev.HintsHeard(effect.hints))
+        elif isinstance(effect, WriteTrial):
+            self._write(node, effect)
+        elif isinstance(effect, RemoveTrial):
+            self._remove(effect)
+
+    def _write(self, node: Node, effect: WriteTrial) -> None:
+        """Write a record to the store, which tells all nodes after `WATCH_LAG_S`."""
+        record = effect.record
+        revision = None
+        if self._revision_of(record.fingerprint) == record.revision:
+            self.revision += 1
+            revision = self.revision
+            self.records[record.fingerprint] = record._replace(revision=revision)
+            self._tell_all(ev.TrialSeen(self.records[record.fingerprint]))
+        node.later(STORE_S, ev.TrialWritten(effect, revision))
+
+    def _remove(self, effect: RemoveTrial) -> None:
+        if self._revision_of(effect.fingerprint) == effect.revision:
+            self.revision += 1
+            del self.records[effect.fingerprint]
+            self._tell_all(ev.TrialRemoved(effect.fingerprint, self.revision))
+
+    def _revision_of(self, fingerprint: str) -> int:
+        known = self.records.get(fingerprint)
+        return known.revision if known is not None else 0
+
+    def _tell_all(self, event: ev.Event) -> None:
+        for node in self.nodes:
+            node.later(WATCH_LAG_S, event)
 
     def _datagram(self, members: Any, event: ev.Event) -> None:
         names = {member.node for member in members}
--- a/tests/platform/test_kv.py
+++ b/tests/platform/test_kv.py
@@ -12,6 +12,9 @@
 
 from cactussaddle_common.storeapi import StoreErrorKind
 from cactussaddle_core.config.model import MoveState
+from cactussaddle_core.hold.trials import RemoveTrial
+from cactussaddle_core.hold.trials import TrialRecord
+from cactussaddle_core.hold.trials import WriteTrial
 from cactussaddle_core.rollouts.model import RecordRollout
 from cactussaddle_core.rollouts.model import RolloutOrder
 from cactussaddle_platform.kv import Condition
@@ -19,6 +22,7 @@
 from cactussaddle_platform.kv import Put
 from cactussaddle_platform.registry import RolloutRecords
 from cactussaddle_platform.registry import StoreFeed
+from cactussaddle_platform.registry import TrialRecords
 from tests.node.edge.servers import served
 
 
@@ -168,6 +172,20 @@
         )
         self.assertEqual(body["puts"][0]["key"], "status/rollout/huvo11a")
 
+    def test_a_trial_record_is_written_and_removed_only_at_the_known_revision(self):
+        record = TrialRecord("ab", 1, ("s",), 4, "n1/7/3")
+        script = Script((200, {"revision": 5}), (412, {"items": []}), (200, {"revision": 6}))
+
+        async def use(store):
+            records = TrialRecords(store=store)
+            written = [(await records.write(WriteTrial(record))).unwrap() for _ in range(2)]
+            return written, (await records.remove(RemoveTrial("ab", 5))).unwrap()
+
+        self.assertEqual(self.run_store(script, use), ([5, None], True))
+        condition = {"key": "cactussaddle/trials/ab", "revision": 4}
+        self.assertEqual(script.calls[0][1]["precondition"], [condition])
+        self.assertEqual(script.calls[2][1]["deletes"], ["cactussaddle/trials/ab"])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -8,6 +8,7 @@
 
 from cactussaddle_core.config.model import MoveState
 from cactussaddle_core.edge import events as ev
+from cactussaddle_core.hold.trials import TrialRecord
 from cactussaddle_core.rollouts.model import RolloutOrder
 from cactussaddle_core.rollouts.model import RolloutStatus
 from cactussaddle_core.spread.model import Member
@@ -17,7 +18,9 @@
 from cactussaddle_platform.records import decode_leaf
 from cactussaddle_platform.records import decode_rollout
 from cactussaddle_platform.records import decode_rollout_status
+from cactussaddle_platform.records import decode_trial
 from cactussaddle_platform.records import encode_rollout_status
+from cactussaddle_platform.records import encode_trial
 from cactussaddle_platform.registry import read_change
 from cactussaddle_platform.registry import read_listing
 
@@ -162,6 +165,26 @@
         self.assertEqual(listed, [ev.RolloutsListed((order,), (known,))])
 
 
+class TrialTest(unittest.TestCase):
+    def test_a_record_round_trips(self):
+        record = TrialRecord("ab12", 2, ("base1a", "base2a"), 9, "n1/7/3")
+        read = decode_trial("cactussaddle/trials/ab12", encode_trial(record), 9)
+        self.assertEqual(read, record)
+
+    def test_a_malformed_record_is_rejected_with_its_key(self):
+        for value in (b"{", b"{}", b'{"trials": -1}', b'{"trials": "1"}'):
+            with self.assertRaisesRegex(RecordError, "cactussaddle/trials/ab"):
+                decode_trial("cactussaddle/trials/ab", value, 1)
+
+    def test_changes_and_listing(self):
+        record = TrialRecord("ab", 1, ("s",), 5)
+        stored = Record("cactussaddle/trials/ab", encode_trial(record), 5)
+        self.assertEqual(read_change(stored), [ev.TrialSeen(record)])
+        removed = Record("cactussaddle/trials/ab", None, 6)
+        self.assertEqual(read_change(removed), [ev.TrialRemoved("ab", 6)])
+        self.assertIn(ev.TrialsListed((record,)), read_listing([stored]))
+
+
 class RegistryTest(unittest.TestCase):
     def test_a_listing_becomes_one_event_of_each_kind(self):
         member = Member("n1", "10.1.0.1", 7740, "limerick")
