Crashes of leaves that fall silent count once the registry shows that the leaf has ended

Cause: only calls that the leaf itself broke were evidence, kept for 2 s; at a silent leaf the call is ended by this node, at its time limit or when its query is answered, and three missed heartbeats take 3.6 s. A call that ended after its leaf was known to be down left no record either, and the report of another node could postpone this node's own probe past the 2 s.

Change: when a leaf's entry expires or shows a new start, the calls that broke or were ended unanswered there in the last 8 s count, as do those still open, and those that end later. Silence at a leaf whose entry stands is no evidence: a node that is cut off would suspect everything. A peer's report that a leaf is down explains calls that broke here. As many requests are under way at a leaf that goes down, a message carries 64 reports, those of the most suspect requests first. The service of a leaf that has left stays known, so that crashes are counted by service.

--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/crashes.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/crashes.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections import OrderedDict
 from typing import TYPE_CHECKING
 
 from cactussaddle_core.edge.logevents import MAX_LOGGED_FINGERPRINTS
 from cactussaddle_core.edge.logevents import CrashesLearned
 from cactussaddle_core.edge.logevents import LeafCrashed
 from cactussaddle_core.edge.logevents import RequestHeld
+from cactussaddle_core.fleet.leaf import BROKEN_CALL_RETENTION_S
+from cactussaddle_core.fleet.leaf import LOST_CALL_RETENTION_S
+from cactussaddle_core.hold.table import MAX_CRASHES
 from cactussaddle_core.hold.table import HoldSnapshot
 from cactussaddle_core.hold.table import HoldTable
 from cactussaddle_core.hold.table import Verdict
@@ -17,6 +21,7 @@
 from cactussaddle_core.hold.trials import Trials
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
 
     from cactussaddle_core.fanout.model import CallerRequest
@@ -30,6 +35,8 @@
 # Each record is broadcast this many times, since messages may be lost.
 BROADCAST_REPEATS = 3
 BROADCAST_INTERVAL_S = 0.3
+# Reports in one message. Many requests are under way at a leaf that goes down, and all nodes tell all others.
+MAX_BROADCAST_STRIKES = 64
 # How long a request is watched after a crash for becoming a suspect by crashes elsewhere.
 WATCH_S = 5.0
 
@@ -41,6 +48,7 @@
         self._fleet = fleet
         self._book = HoldTable(node=node, service_of=self._service_of)
         self.trials = Trials(node=node, incarnation=incarnation)
+        self._services: OrderedDict[str, str] = OrderedDict()
         self._watched: dict[str, str] = {}
         self._unstored: set[str] = set()
         self._broadcasts_left = 0
@@ -67,23 +75,40 @@
         if self._book.succeeded(fingerprint, leaf, now):
             self._broadcasts_left = BROADCAST_REPEATS
 
-    def collect_crashes(self, now: float) -> list[LeafCrashed | RequestHeld]:
-        """Record the leaves that went down; return their crashes and the requests now held."""
+    def collect_crashes(
+        self, running_on: Callable[[Leaf], list[str]], now: float
+    ) -> list[LeafCrashed | RequestHeld]:
+        """Record the leaves that went down; return their crashes and the requests now held.
+
+        A leaf that only this node can't reach may still run, so silence counts only once the registry
+        shows that the leaf has ended. `running_on` returns the requests with an open call at a leaf.
+        """
         events: list[LeafCrashed | RequestHeld] = []
-        for leaf in self._fleet.take_newly_down():
-            fingerprints = leaf.recently_broken(now)
-            unanswered = leaf.recently_unanswered(now)
+        for leaf, ended in self._fleet.take_newly_down():
+            self._services[leaf.name] = leaf.entry.service
+            broken = leaf.recently_broken(
+                now, LOST_CALL_RETENTION_S if ended else BROKEN_CALL_RETENTION_S
+            )
+            unanswered = [*leaf.recently_unanswered(now), *running_on(leaf)] if ended else []
             leaf.broken = []
-            leaf.unanswered = []
-            if fingerprints or unanswered:
-                events.append(_crash_event(leaf, fingerprints, unanswered))
-            self._book.crashed(leaf.name, str(leaf.entry.born_ms), fingerprints, now)
+            if ended:
+                leaf.unanswered = []
+            fingerprints = [*broken, *unanswered]
             if fingerprints:
-                self._broadcasts_left = BROADCAST_REPEATS
-            for fingerprint in fingerprints:
-                self._watched[fingerprint] = leaf.name
+                events.append(_crash_event(leaf, broken, unanswered))
+            if fingerprints or not ended:
+                self._record_crash(leaf, fingerprints, now)
+        while len(self._services) > MAX_CRASHES:
+            self._services.popitem(last=False)
         return [*events, *self._newly_held(now)]
 
+    def _record_crash(self, leaf: Leaf, fingerprints: list[str], now: float) -> None:
+        self._book.crashed(leaf.name, str(leaf.entry.born_ms), fingerprints, now)
+        if fingerprints:
+            self._broadcasts_left = BROADCAST_REPEATS
+        for fingerprint in fingerprints:
+            self._watched[fingerprint] = leaf.name
+
     def _newly_held(self, now: float) -> list[RequestHeld]:
         events = []
         for fingerprint, leaf in list(self._watched.items()):
@@ -146,9 +171,8 @@
         self._broadcasts_left -= 1
         self._next_broadcast_at = now + BROADCAST_INTERVAL_S
         known = self._book.snapshot(now)
-        strikes = tuple(
-            note for note in known.strikes if self._broadcast_counts[note] < BROADCAST_REPEATS
-        )
+        due = [note for note in known.strikes if self._broadcast_counts[note] < BROADCAST_REPEATS]
+        strikes = self._most_suspect(due)
         clearances = tuple(
             note for note in known.clearances if self._broadcast_counts[note] < BROADCAST_REPEATS
         )
@@ -162,11 +186,20 @@
     def full_snapshot(self, now: float) -> HoldSnapshot | None:
         """Return all known records, for a node that has just registered."""
         known = self._book.snapshot(now)
-        return known if known.strikes or known.clearances else None
+        if not known.strikes and not known.clearances:
+            return None
+        return known._replace(strikes=self._most_suspect(known.strikes))
+
+    def _most_suspect(self, strikes: Iterable[Strike]) -> tuple[Strike, ...]:
+        """Return the reports of the requests with the most crashes, up to `MAX_BROADCAST_STRIKES`."""
+        ranked = sorted(
+            strikes, key=lambda strike: self._book.crash_count(strike.fingerprint), reverse=True
+        )
+        return tuple(ranked[:MAX_BROADCAST_STRIKES])
 
     def _service_of(self, leaf: str) -> str:
         known = self._fleet.leaves.get(leaf)
-        return known.entry.service if known is not None else ""
+        return known.entry.service if known is not None else self._services.get(leaf, "")
 
 
 def _crash_event(leaf: Leaf, broken: list[str], unanswered: list[str]) -> LeafCrashed:
--- a/packages/cactussaddle-core/src/cactussaddle_core/fanout/evidence.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/evidence.py
@@ -51,12 +51,14 @@
         _record_fault(state, leaf, now)
     elif end.ending is CallEnding.BROKEN:
         leaf.record_broken_call(call.part.query.request.fingerprint, now)
+        state.fleet.call_lost(leaf)
         _record_fault(state, leaf, now)
     elif end.ending is CallEnding.NOT_SENT:
         state.fleet.suspect(leaf, Availability.DOWN, now, f"no connection: {end.detail}")
     elif end.ending is CallEnding.CANCELLED and now >= due:
-        if call.left and leaf.last_answer_at < call.left_at:
+        if call.left:
             leaf.record_unanswered_call(call.part.query.request.fingerprint, now)
+            state.fleet.call_lost(leaf)
         if not (call.left and leaf.is_slow(now)):
             is_dead = not call.left and elapsed_s >= CONNECT_DOWN_AFTER_S
             availability = Availability.DOWN if is_dead else Availability.SUSPECT
--- a/packages/cactussaddle-core/src/cactussaddle_core/fanout/state.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/state.py
@@ -253,6 +253,11 @@
         self._timers: list[tuple[float, int]] = []
         self._next_call_id = 0
 
+    def running_on(self, leaf: Leaf) -> list[str]:
+        """Return the fingerprints of the requests with an open call that was sent to a leaf."""
+        calls = [self.calls[call_id] for call_id in leaf.waiting if call_id in self.calls]
+        return [call.part.query.request.fingerprint for call in calls if call.left]
+
     def next_call_id(self) -> int:
         """Return a call id that is unique within this process."""
         self._next_call_id += 1
--- a/packages/cactussaddle-core/src/cactussaddle_core/fleet/applyhints.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fleet/applyhints.py
@@ -46,6 +46,8 @@
         if leaf is not None and leaf.entry.born_ms == hint.born_ms:
             fleet.track_availability(leaf, "reported by another node", now)
             _apply(leaf, hint, spread * rng.random(), now)
+            if hint.kind is HintKind.DOWN:
+                fleet.reported_down(leaf)
 
 
 def _apply(leaf: Leaf, hint: Hint, drawn: float, now: float) -> None:
--- a/packages/cactussaddle-core/src/cactussaddle_core/fleet/fleet.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fleet/fleet.py
@@ -9,6 +9,7 @@
 import math
 
 from typing import TYPE_CHECKING
+from typing import NamedTuple
 
 from cactussaddle_core.edge.logevents import LeafStanding
 from cactussaddle_core.fleet.hints import HintBuffer
@@ -27,6 +28,13 @@
 MAX_TRACKED = 200
 
 
+class DownLeaf(NamedTuple):
+    """A leaf that went down; `ended` if the registry shows that this start of it is over."""
+
+    leaf: Leaf
+    ended: bool
+
+
 class Fleet:
     """All leaves, indexed by id and by service.
 
@@ -40,7 +48,7 @@
         self.loaded = False
         self.hints = HintBuffer()
         self.probes = ProbePlan()
-        self._newly_down: list[Leaf] = []
+        self._newly_down: list[DownLeaf] = []
         self._tracked: dict[str, tuple[Availability, bool, str]] = {}
         self._outage_ended_at = -math.inf
 
@@ -67,8 +75,8 @@
         if leaf is not None and _is_older(entry, leaf.entry):
             return None
         if leaf is None or _restarted(leaf.entry, entry):
-            if leaf is not None and leaf.broken:
-                self._newly_down.append(leaf)
+            if leaf is not None:
+                self._newly_down.append(DownLeaf(leaf, ended=True))
             started = Leaf(entry=entry, probes=self.probes, now=now)
             self._put(started)
             return started
@@ -87,6 +95,7 @@
         leaf.listed = False
         leaf.drop_at = now
         if not leaf.entry.draining:
+            self._newly_down.append(DownLeaf(leaf, ended=True))
             leaf.drop_at = max(now, self._outage_ended_at + REREGISTRATION_S)
 
     def sweep(self, now: float) -> list[Leaf]:
@@ -105,7 +114,7 @@
         """Mark a leaf SUSPECT or DOWN for a while; if it has just gone down, queue a hint."""
         if availability is Availability.DOWN and leaf.availability is not Availability.DOWN:
             self.hints.note(leaf, HintKind.DOWN)
-            self._newly_down.append(leaf)
+            self._newly_down.append(DownLeaf(leaf, ended=False))
         self.track_availability(leaf, cause, now)
         leaf.suspect(availability, now)
 
@@ -117,7 +126,21 @@
         elif len(self._tracked) < MAX_TRACKED:
             self._tracked[leaf.name] = (leaf.availability, leaf.is_slow(now), cause)
 
-    def take_newly_down(self) -> list[Leaf]:
+    def reported_down(self, leaf: Leaf) -> None:
+        """Apply another node's report that a leaf is down; it explains calls that broke here."""
+        if leaf.broken:
+            self._newly_down.append(DownLeaf(leaf, ended=False))
+
+    def call_lost(self, leaf: Leaf) -> None:
+        """Note that a call got no answer; its leaf may be known by now to have ended."""
+        if not leaf.entry.draining and self.has_ended(leaf):
+            self._newly_down.append(DownLeaf(leaf, ended=True))
+
+    def has_ended(self, leaf: Leaf) -> bool:
+        """Return whether the registry shows that this start of a leaf is over."""
+        return not leaf.listed or self.leaves.get(leaf.name) is not leaf
+
+    def take_newly_down(self) -> list[DownLeaf]:
         """Return the leaves that went down since the last call."""
         newly_down, self._newly_down = self._newly_down, []
         return newly_down
--- a/packages/cactussaddle-core/src/cactussaddle_core/fleet/leaf.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fleet/leaf.py
@@ -31,7 +31,7 @@
 # A call broken within this time before its leaf was found down may have crashed the leaf.
 BROKEN_CALL_RETENTION_S = 2.0
 # A leaf that crashed silently is known to be gone after three missed heartbeats and the store's lag.
-UNANSWERED_CALL_RETENTION_S = 8.0
+LOST_CALL_RETENTION_S = 8.0
 INITIAL_SUSPECT_BACKOFF_S = 0.3
 MAX_SUSPECT_BACKOFF_S = 2.0
 
@@ -152,24 +152,24 @@
 
     def record_broken_call(self, fingerprint: str, now: float) -> None:
         """Record that a call of the request broke; schedule a probe to check that the leaf is up."""
-        self.broken = [entry for entry in self.broken if now - entry[0] < BROKEN_CALL_RETENTION_S]
+        self.broken = [entry for entry in self.broken if now - entry[0] < LOST_CALL_RETENTION_S]
         self.broken.append((now, fingerprint))
         self.probes.schedule(self.name, now)
 
     def record_unanswered_call(self, fingerprint: str, now: float) -> None:
         """Record that this node ended a call of the request, and the leaf had sent nothing since."""
-        since = now - UNANSWERED_CALL_RETENTION_S
+        since = now - LOST_CALL_RETENTION_S
         self.unanswered = [entry for entry in self.unanswered if entry[0] > since]
         self.unanswered.append((now, fingerprint))
 
     def recently_unanswered(self, now: float) -> list[str]:
         """Return the fingerprints of the requests whose calls were recently ended unanswered."""
-        since = now - UNANSWERED_CALL_RETENTION_S
+        since = now - LOST_CALL_RETENTION_S
         return [entry[1] for entry in self.unanswered if entry[0] > since]
 
-    def recently_broken(self, now: float) -> list[str]:
-        """Return the fingerprints of the requests whose calls broke recently."""
-        return [entry[1] for entry in self.broken if now - entry[0] < BROKEN_CALL_RETENTION_S]
+    def recently_broken(self, now: float, within_s: float = BROKEN_CALL_RETENTION_S) -> list[str]:
+        """Return the fingerprints of the requests whose calls broke within a time."""
+        return [entry[1] for entry in self.broken if now - entry[0] < within_s]
 
     def is_slow(self, now: float) -> bool:
         """Return whether the latest probe is still valid and found the leaf slow."""
--- a/tests/core/edge/test_crashes.py
+++ b/tests/core/edge/test_crashes.py
@@ -1,13 +1,18 @@
 from __future__ import annotations
 
+import random
 import unittest
 
 from cactussaddle_core.edge import effects as fx
 from cactussaddle_core.edge import events as ev
+from cactussaddle_core.edge.crashes import MAX_BROADCAST_STRIKES
 from cactussaddle_core.edge.crashes import CrashTracker
 from cactussaddle_core.edge.logevents import LeafCrashed
 from cactussaddle_core.fanout.model import CallEnding
+from cactussaddle_core.fleet.applyhints import apply_hints
 from cactussaddle_core.fleet.fleet import Fleet
+from cactussaddle_core.fleet.hints import Hint
+from cactussaddle_core.fleet.hints import HintKind
 from cactussaddle_core.fleet.model import Availability
 from cactussaddle_core.fleet.probing import ProbeOutcome
 from cactussaddle_core.fleet.probing import ProbeResult
@@ -142,6 +147,9 @@
         self.fleet.apply_listing([entry(s, d) for s in services for d in DOMAINS], 10.0)
         self.tracker = CrashTracker(node="n0", fleet=self.fleet)
 
+    def collect(self, now: float):
+        return self.tracker.collect_crashes(lambda leaf: [], now)
+
     def mark_down(self, service: str, domain: str, fingerprints: list[str], now: float):
         leaf = self.fleet.leaves[leaf_name(service, domain)]
         for fingerprint in fingerprints:
@@ -151,7 +159,7 @@
     def test_the_loss_of_many_leaves_at_once_holds_no_request(self):
         for number in range(8):
             self.mark_down(f"s{number}", DOMAINS[0], ["bystander"] if number < 3 else [], 20.0)
-        found = self.tracker.collect_crashes(20.1)
+        found = self.collect(20.1)
         self.assertEqual([type(event) for event in found], [LeafCrashed] * 3)
         self.assertFalse(self.tracker.is_held("bystander", 21.0))
 
@@ -160,19 +168,65 @@
             leaf = self.fleet.leaves[leaf_name("s0", domain)]
             leaf.record_broken_call("poison", 20.0 + number)
             self.fleet.apply_entry(entry("s0", domain, born_ms=2), 20.5 + number)
-            self.tracker.collect_crashes(20.6 + number)
+            self.collect(20.6 + number)
         self.assertTrue(self.tracker.is_held("poison", 23.0))
 
     def test_calls_broken_long_before_are_not_counted(self):
         leaf = self.fleet.leaves[leaf_name("s0", DOMAINS[0])]
         leaf.record_broken_call("old", 10.0)
         self.fleet.suspect(leaf, Availability.DOWN, 20.0, "no connection")
-        self.tracker.collect_crashes(20.0)
+        self.collect(20.0)
         self.assertIsNone(self.tracker.next_broadcast(20.0))
 
+    def test_silence_at_a_leaf_that_has_not_ended_is_no_crash(self):
+        for domain in DOMAINS:
+            leaf = self.fleet.leaves[leaf_name("s0", domain)]
+            leaf.record_unanswered_call("bystander", 20.0)
+            self.fleet.suspect(leaf, Availability.DOWN, 20.0, "no answer")
+        self.assertEqual(self.collect(20.1), [])
+        self.assertFalse(self.tracker.is_held("bystander", 21.0))
+
+    def test_silence_at_leaves_whose_entries_expire_counts(self):
+        for domain in DOMAINS[:2]:
+            self.fleet.leaves[leaf_name("s0", domain)].record_unanswered_call("poison", 20.0)
+            self.fleet.remove_entry(leaf_name("s0", domain), 24.4)
+        self.collect(24.5)
+        self.assertTrue(self.tracker.is_held("poison", 24.5))
+
+    def test_a_call_that_ends_after_its_leaf_is_gone_counts(self):
+        for domain in DOMAINS[:2]:
+            leaf = self.fleet.leaves[leaf_name("s0", domain)]
+            self.fleet.remove_entry(leaf.name, 24.4)
+            self.fleet.sweep(30.0)
+            self.collect(30.0)
+            leaf.record_unanswered_call("poison", 31.0)
+            self.fleet.call_lost(leaf)
+        self.collect(31.1)
+        self.assertTrue(self.tracker.is_held("poison", 31.1))
+
+    def test_another_nodes_report_explains_calls_that_broke_here(self):
+        for domain in DOMAINS[:2]:
+            leaf = self.fleet.leaves[leaf_name("s0", domain)]
+            leaf.record_broken_call("poison", 20.0)
+            hint = Hint(leaf.name, leaf.entry.born_ms, HintKind.DOWN, 0.0)
+            apply_hints(self.fleet, [hint], random.Random(1), 67, 20.1)
+        self.collect(20.2)
+        self.assertTrue(self.tracker.is_held("poison", 20.2))
+
+    def test_a_message_carries_the_most_suspect_requests_first(self):
+        for number in range(3):
+            many = [f"bystander-{n}" for n in range(100)] if number == 0 else []
+            self.mark_down(f"s{number}", DOMAINS[0], [*many, "poison"], 20.0)
+        self.collect(20.0)
+        snapshot = self.tracker.next_broadcast(20.0)
+        assert snapshot is not None
+        self.assertEqual(len(snapshot.strikes), MAX_BROADCAST_STRIKES)
+        told = [strike.fingerprint for strike in snapshot.strikes]
+        self.assertEqual(told[:3], ["poison"] * 3)
+
     def test_records_are_broadcast_a_few_times(self):
         self.mark_down("s0", DOMAINS[0], ["poison"], 20.0)
-        self.tracker.collect_crashes(20.0)
+        self.collect(20.0)
         broadcasts = [
             at for at in (20.0, 20.1, 20.4, 20.8, 21.2, 21.6) if self.tracker.next_broadcast(at)
         ]
@@ -180,11 +234,11 @@
 
     def test_a_later_crash_broadcasts_only_new_records(self):
         self.mark_down("s0", DOMAINS[0], ["poison"], 20.0)
-        self.tracker.collect_crashes(20.0)
+        self.collect(20.0)
         for at in (20.0, 20.4, 20.8):
             self.tracker.next_broadcast(at)
         self.mark_down("s1", DOMAINS[0], ["another"], 24.0)
-        self.tracker.collect_crashes(24.0)
+        self.collect(24.0)
         snapshot = self.tracker.next_broadcast(24.0)
         assert snapshot is not None
         self.assertEqual([strike.fingerprint for strike in snapshot.strikes], ["another"])
@@ -192,7 +246,7 @@
     def test_a_node_that_registers_gets_all_records(self):
         self.assertIsNone(self.tracker.full_snapshot(20.0))
         self.mark_down("s0", DOMAINS[0], ["poison"], 20.0)
-        self.tracker.collect_crashes(20.0)
+        self.collect(20.0)
         for at in (20.0, 20.4, 20.8):
             self.tracker.next_broadcast(at)
         snapshot = self.tracker.full_snapshot(30.0)
