--- a/tests/soak/leaf.py
+++ b/tests/soak/leaf.py
@@ -17,6 +17,8 @@
 if TYPE_CHECKING:
     import random
 
+    from collections.abc import Callable
+
     from tests.soak.kv import Store
     from tests.soak.ledger import Ledger
 
@@ -24,12 +26,15 @@
 LAPSE_S = 3.0 * HEARTBEAT_S
 RECORDS = 6
 QUEUE = 8
+# A request that ends each leaf that runs it.
+KILLER = "/p/killer"
 
 
 class LeafServer:
     """One leaf: slots, a queue, work times, and the ways in which it fails.
 
     `fault` is "" or one of slow, shed, errors, hang, mute (runs, answers nothing), garble, extra.
+    `on_killer` is called when it begins to run the request `KILLER`.
     """
 
     def __init__(
@@ -56,6 +61,7 @@
         self.registered = True
         self.born_ms = 1
         self.server = Server(handler=self.handle)
+        self.on_killer: Callable[[LeafServer, str], None] = _ignore
         self._store = store
         self._ledger = ledger
         self._rng = rng
@@ -124,6 +130,9 @@
             return Response(503, b"", (("Not-Executed", "1"), ("Request-Id", request)))
         async with self._slots:
             self._ledger.ran(request, self, req)
+            if req.path == KILLER:
+                self.on_killer(self, request)
+                return None
             factor = 8.0 if self.fault == "slow" else 1.0
             await trio.sleep(factor * self.work_s * self._rng.lognormvariate(0.0, 0.3))
         return await self._answer(conn, req, request)
@@ -154,3 +163,7 @@
     def _sign(self, request: str, body: bytes) -> str:
         data = f"{request}/{self.name}/{self.born_ms}/".encode() + body
         return hashlib.sha256(data).hexdigest()[:24]
+
+
+def _ignore(leaf: LeafServer, request: str) -> None:
+    pass
