Retry budget: a node that has started uses a quarter of it for one window

The same cause as with crashing requests, looked for elsewhere: a limit over all nodes that rests on counts in one process's memory.

Change: in its first window a node has 0.25 of its usual budget (0.8 of the whole), for the ratio and the fixed part: 0.8 + 0.8 x 0.25 = 1.

Nodes start 12 s or more before traffic, so a first start pays nothing; a node that restarts hedges less for 10 s.

--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/state.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/state.py
@@ -55,9 +55,14 @@
 
 
 class EdgeState:
-    """The complete state of a node; `region_nodes` is the number of nodes in its region."""
+    """The complete state of a node; `region_nodes` is the number of nodes in its region.
 
-    def __init__(self, *, me: EdgeIdentity, rules: EdgeRules, seed: int) -> None:
+    The process started at `started_at`, in seconds of the monotonic clock.
+    """
+
+    def __init__(
+        self, *, me: EdgeIdentity, rules: EdgeRules, seed: int, started_at: float = -math.inf
+    ) -> None:
         self.me = me
         self.rules = rules
         self.current_table = CurrentTable()
@@ -75,7 +80,7 @@
         self.stopping = GracefulStop()
         self.connections_changed = False
         self.housekeeping_at = 0.0
-        self.budget = RetryBudget(rules=rules.budget, nodes=ASSUMED_MEMBERS)
+        self.budget = RetryBudget(rules=rules.budget, nodes=ASSUMED_MEMBERS, started_at=started_at)
         self.rollouts = Rollouts(node=me.node, incarnation=str(seed))
         self.fanout = FanoutState(
             fleet=self.fleet,
--- a/packages/cactussaddle-core/src/cactussaddle_core/limits/budget.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/limits/budget.py
@@ -7,12 +7,17 @@
 
 from __future__ import annotations
 
+import math
+
 from collections import deque
 from typing import NamedTuple
 
 BUCKETS = 20
-# Fraction of the budget that is used, because a node that restarts loses the counts of its window.
+# Fraction of the budget that is used; the rest is for nodes that have restarted.
 SAFETY_FACTOR = 0.8
+# Fraction of its usual budget that a node has in its first window: what it spent before a restart
+# still counts, and all nodes may restart at once.
+RESTART_FACTOR = 0.25
 
 
 class BudgetRules(NamedTuple):
@@ -46,10 +51,14 @@
 
 
 class RetryBudget:
-    """Tracks the extra calls that this node may still make, by service."""
+    """Tracks the extra calls that this node may still make, by service.
+
+    The process started at `started_at`, in seconds of the monotonic clock.
+    """
 
-    def __init__(self, *, rules: BudgetRules, nodes: int) -> None:
+    def __init__(self, *, rules: BudgetRules, nodes: int, started_at: float = -math.inf) -> None:
         self.rules = rules
+        self._started_at = started_at
         self.nodes = max(1, nodes)
         self.denied = 0
         self._bucket_s = rules.window_s / BUCKETS
@@ -64,8 +73,11 @@
     def left(self, service: str, now: float) -> float:
         """Return how many extra calls remain in the current window."""
         window, _ = self._window(service, now)
-        allowance = SAFETY_FACTOR * self.rules.allowance / self.nodes
-        return SAFETY_FACTOR * self.rules.ratio * window.requests + allowance - window.extras
+        usable = SAFETY_FACTOR
+        if now - self._started_at < self.rules.window_s:
+            usable *= RESTART_FACTOR
+        budget = self.rules.ratio * window.requests + self.rules.allowance / self.nodes
+        return usable * budget - window.extras
 
     def take(self, service: str, now: float, *, reserve: float = 0.0) -> bool:
         """Spend one extra call if at least `reserve` calls remain afterwards."""
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/daemon.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/daemon.py
@@ -75,6 +75,7 @@
             me=EdgeIdentity(cfg.node, cfg.domain, cfg.region_of),
             rules=rules_of(cfg),
             seed=random.SystemRandom().getrandbits(32),
+            started_at=trio.current_time(),
         )
         self.guard = TaskGuard(report=self._report_error)
         self.leaf_caller = LeafCaller(
--- a/tests/core/limits/test_limits.py
+++ b/tests/core/limits/test_limits.py
@@ -76,3 +76,30 @@
         counts.saw(9, 0.0)
         counts.saw(3, 10.0)
         self.assertEqual((counts.most(11.0), counts.most(26.0)), (9, 3))
+
+
+class RestartTest(unittest.TestCase):
+    def test_nodes_that_all_restart_spend_the_allowance_twice(self):
+        spent: list[float] = []
+        asked: list[float] = []
+        for started_at, begin, until in ((-100.0, 0.0, 20.0), (21.0, 21.0, 40.0)):
+            nodes = [RetryBudget(rules=RULES, nodes=8, started_at=started_at) for _ in range(8)]
+            now = begin
+            while now < until:
+                for node in nodes:
+                    node.count_request("s", now)
+                    asked.append(now)
+                    if now > 16.5:
+                        spent += [now for _ in range(2) if node.take("s", now)]
+                now += 0.25
+        for start in spent:
+            extras = sum(1 for at in spent if start <= at < start + 10.0)
+            requests = max(
+                sum(1 for at in asked if start - back <= at < start - back + 10.0)
+                for back in (0.0, 5.0, 10.0)
+            )
+            self.assertLessEqual(extras, RULES.ratio * requests + RULES.allowance)
+
+    def test_a_restarted_node_has_its_whole_allowance_after_one_window(self):
+        node = RetryBudget(rules=RULES, nodes=8, started_at=0.0)
+        self.assertLess(node.left("s", 9.0), 0.3 * node.left("s", 11.0))
