Read the limit that a leaf names, log and count it

Decoded in the adapter from answers and health checks; leaf_limited tells when it is named, changed or lifted; a gauge counts the limited leaves. Nothing decides by it yet.

--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/logevents.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/logevents.py
@@ -195,6 +195,13 @@
     faults: float
 
 
+class LeafLimited(NamedTuple):
+    """A leaf takes only `per_s` requests a second from all nodes together; null: no longer limited."""
+
+    leaf: str
+    per_s: float | None
+
+
 class CallTrace(NamedTuple):
     """One call of a request: when it was sent and ended, why it was made, and how it ended.
 
@@ -330,7 +337,7 @@
         ReloadFailed,
     }
 )
-ROUTINE: frozenset[type[Any]] = frozenset({LeafStarted, LeafStanding, CallerLeft})
+ROUTINE: frozenset[type[Any]] = frozenset({LeafStarted, LeafStanding, LeafLimited, CallerLeft})
 EVENTS: tuple[type[Any], ...] = (
     Started,
     Stopped,
@@ -355,6 +362,7 @@
     LeafUnlisted,
     LeavesDropped,
     LeafStanding,
+    LeafLimited,
     RequestEnded,
     RequestRefused,
     LeafCrashed,
--- a/packages/cactussaddle-core/src/cactussaddle_core/fanout/model.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/model.py
@@ -71,7 +71,8 @@
 class CallEnd(NamedTuple):
     """The end of a call; `detail` briefly describes what was observed.
 
-    `wrong_leaf` means that another leaf now has the address.
+    `wrong_leaf` means that another leaf now has the address. `limit_per_s` is how many requests a second
+    the leaf takes from all nodes together, if its answer named a limit.
     """
 
     call_id: int
@@ -80,3 +81,4 @@
     reply: LeafReply | None = None
     load: Load | None = None
     wrong_leaf: bool = False
+    limit_per_s: float | None = None
--- a/packages/cactussaddle-core/src/cactussaddle_core/fleet/fleet.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fleet/fleet.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from cactussaddle_core.edge.logevents import LeafLimited
 from cactussaddle_core.edge.logevents import LeafStanding
 from cactussaddle_core.fleet.hints import HintBuffer
 from cactussaddle_core.fleet.hints import HintKind
@@ -49,6 +50,7 @@
         self.hints = HintBuffer()
         self.probes = ProbePlan()
         self._newly_down: list[DownLeaf] = []
+        self._limit_changes: dict[str, LeafLimited] = {}
         self._tracked: dict[str, tuple[Availability, bool, str]] = {}
         self._outage_ended_at = -math.inf
 
@@ -140,6 +142,19 @@
         """Return whether the registry shows that this start of a leaf is over."""
         return not leaf.listed or self.leaves.get(leaf.name) is not leaf
 
+    def limit_named(self, leaf: Leaf, per_s: float | None) -> None:
+        """Apply the limit in a leaf's answer; None if the answer names none."""
+        if per_s == leaf.limit_per_s:
+            return
+        leaf.limit_per_s = per_s
+        if len(self._limit_changes) < MAX_TRACKED:
+            self._limit_changes[leaf.name] = LeafLimited(leaf.name, per_s)
+
+    def take_limit_changes(self) -> list[LeafLimited]:
+        """Return the newest limits of the leaves that have changed theirs since the last call."""
+        changes, self._limit_changes = self._limit_changes, {}
+        return list(changes.values())
+
     def take_newly_down(self) -> list[DownLeaf]:
         """Return the leaves that went down since the last call."""
         newly_down, self._newly_down = self._newly_down, []
--- a/packages/cactussaddle-core/src/cactussaddle_core/fleet/leaf.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fleet/leaf.py
@@ -42,6 +42,7 @@
     `slowness` is the ratio of its latency to the usual latency of its routes. `waiting` maps each
     pending call to the time from which it is overdue. `connect_s` is the shortest connect time
     seen, about one round trip. `connection_limit` is the number of connections that this node may open to it.
+    `limit_per_s` is how many requests a second the leaf says that it takes from all nodes together.
     `displaced` is set when another leaf answers at its address. `broken` holds the time and request
     fingerprint of calls that broke recently, `unanswered` those of calls that this node ended after
     the leaf had sent nothing since they left.
@@ -62,6 +63,7 @@
         self.connect_s: float | None = None
         self.load: Load | None = None
         self.load_at = -math.inf
+        self.limit_per_s: float | None = None
         self.availability = Availability.READY
         self.suspect_until = 0.0
         self.suspect_backoff_s = INITIAL_SUSPECT_BACKOFF_S
--- a/packages/cactussaddle-core/src/cactussaddle_core/fleet/probing.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fleet/probing.py
@@ -38,8 +38,8 @@
 class ProbeResult(NamedTuple):
     """The result of a probe.
 
-    `leaf` is the id of the leaf that answered; `cold_left_s` and `load` are None if the answer does
-    not report them. `work_s` is the response time without the network round trips.
+    `leaf` is the id of the leaf that answered; `cold_left_s`, `load` and `limit_per_s` are None if the
+    answer does not report them. `work_s` is the response time without the network round trips.
     """
 
     end: ProbeOutcome
@@ -48,6 +48,7 @@
     cold_left_s: float | None
     work_s: float
     load: Load | None = None
+    limit_per_s: float | None = None
 
 
 def due_probes(fleet: Fleet, now: float) -> list[Leaf]:
@@ -74,6 +75,7 @@
     if health.end is ProbeOutcome.NOT_CONNECTED or health.leaf != name or not health.healthy:
         fleet.suspect(leaf, Availability.DOWN, now, _cause(leaf, health))
         return
+    fleet.limit_named(leaf, health.limit_per_s)
     if health.cold_left_s is not None:
         leaf.set_cold_left(health.cold_left_s, now)
     fleet.track_availability(leaf, f"probe took {1000.0 * health.work_s:.0f} ms", now)
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/daemon.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/daemon.py
@@ -179,10 +179,12 @@
     def gauges(self, registry_age_s: float, store_calls: int) -> dict[str, dict[str, float]]:
         """Return the current values of the gauge metrics."""
         standings = Counter(leaf.availability.value for leaf in self.state.fleet.leaves.values())
+        limited = sum(leaf.limit_per_s is not None for leaf in self.state.fleet.leaves.values())
         table = self.state.current_table.table
         return {
             "cactussaddle_requests": {"": len(self.state.fanout.queries)},
             "cactussaddle_leaves": {name: float(count) for name, count in standings.items()},
+            "cactussaddle_limited_leaves": {"": limited},
             "cactussaddle_members": {"": len(self.state.members)},
             "cactussaddle_table_version": {"": table.version if table is not None else 0},
             "cactussaddle_store_calls": {"": store_calls},
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/metrics.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/metrics.py
@@ -29,6 +29,7 @@
 GAUGES: Mapping[str, str] = {
     "cactussaddle_requests": "Requests under way.",
     "cactussaddle_leaves": "Leaves known, by standing.",
+    "cactussaddle_limited_leaves": "Leaves that name a limit on their requests.",
     "cactussaddle_members": "Nodes registered.",
     "cactussaddle_table_version": "Version of the routing table in force.",
     "cactussaddle_store_calls": "Calls to the store since the start.",
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -90,6 +90,19 @@
         self.assertEqual(self.end(response(server_load=b"3,1,8")).load, (3, 1, 8))
         self.assertIsNone(self.end(response(server_load=b"much")).load)
 
+    def test_a_named_limit_is_decoded(self):
+        for status, more in (
+            (200, {"server_stamp": b"s"}),
+            (500, {}),
+            (503, {"not_executed": b"1"}),
+        ):
+            end = self.end(response(status, server_limit=b"7.5", **more))
+            self.assertEqual(end.limit_per_s, 7.5)
+        self.assertIsNone(self.end(response(200, server_stamp=b"s")).limit_per_s)
+        self.assertIsNone(self.end(response(421, server_limit=b"7.5")).limit_per_s)
+        health = leaves.decode_health(response(200, server_limit=b"3"), 0.01)
+        self.assertEqual(health.limit_per_s, 3.0)
+
     def test_an_answer_to_another_request_is_detected_by_its_id(self):
         request = decoded()
         self.assertTrue(leaves.is_answer_to(request, response(request_id=b"9c41")))
