Leaves get no more than the limit that they name: shares that follow each node's traffic

Cause: a limit for all nodes together that no node knew. Class: the same as of the retry budget and of cold leaves, a limit over the fleet that each node has to keep a share of; here the share has to follow the traffic, or callers are turned away beside unused quota.

Change: each node weighs its own rate of requests against those of all nodes, nearer nodes first, and fills a token bucket with that share of the leaf's limit. Nodes tell each other their rates and the limits while there are any. Promise named-limit.

--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/effects.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/effects.py
@@ -16,6 +16,8 @@
     from cactussaddle_core.fleet.hints import Hint
     from cactussaddle_core.fleet.leaf import Leaf
     from cactussaddle_core.hold.table import HoldSnapshot
+    from cactussaddle_core.limits.leaflimit import LimitNote
+    from cactussaddle_core.limits.leaflimit import TrafficReport
     from cactussaddle_core.rollouts.model import LeaderUpdate
     from cactussaddle_core.spread.model import Member
     from cactussaddle_core.spread.tree import TreePosition
@@ -65,6 +67,20 @@
     snapshot: HoldSnapshot
 
 
+class SendLimits(NamedTuple):
+    """Send the members limits that leaves have named; delivery is not guaranteed."""
+
+    members: tuple[Member, ...]
+    notes: tuple[LimitNote, ...]
+
+
+class SendTraffic(NamedTuple):
+    """Send the members the rate of this node's requests; delivery is not guaranteed."""
+
+    members: tuple[Member, ...]
+    report: TrafficReport
+
+
 class SendEvidence(NamedTuple):
     """Send the members this node's counts of calls to old and new versions."""
 
@@ -96,6 +112,8 @@
     | SetTreePosition
     | SendHints
     | SendCrashes
+    | SendLimits
+    | SendTraffic
     | SendEvidence
     | SendLeaderUpdate
     | RecordRollout
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/events.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/events.py
@@ -18,6 +18,8 @@
     from cactussaddle_core.hold.table import HoldSnapshot
     from cactussaddle_core.hold.trials import TrialRecord
     from cactussaddle_core.hold.trials import WriteTrial
+    from cactussaddle_core.limits.leaflimit import LimitNote
+    from cactussaddle_core.limits.leaflimit import TrafficReport
     from cactussaddle_core.rollouts.model import LeaderUpdate
     from cactussaddle_core.rollouts.model import RolloutOrder
     from cactussaddle_core.rollouts.model import RolloutStatus
@@ -193,6 +195,18 @@
     revision: int | None
 
 
+class LimitsHeard(NamedTuple):
+    """Another node has sent limits that leaves named in their answers to it."""
+
+    notes: tuple[LimitNote, ...]
+
+
+class TrafficHeard(NamedTuple):
+    """Another node has sent the rate of its requests."""
+
+    report: TrafficReport
+
+
 class RecordRejected(NamedTuple):
     """A record in the store could not be decoded."""
 
@@ -263,6 +277,8 @@
     | RolloutNewsHeard
     | HintsHeard
     | CrashesHeard
+    | LimitsHeard
+    | TrafficHeard
     | TrialSeen
     | TrialRemoved
     | TrialsListed
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/reduce.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/reduce.py
@@ -14,6 +14,8 @@
 from cactussaddle_core.edge.effects import LogEvent
 from cactussaddle_core.edge.effects import SendCrashes
 from cactussaddle_core.edge.effects import SendHints
+from cactussaddle_core.edge.effects import SendLimits
+from cactussaddle_core.edge.effects import SendTraffic
 from cactussaddle_core.edge.effects import SetTreePosition
 from cactussaddle_core.edge.rolling import advance_rollouts
 from cactussaddle_core.edge.rolling import evidence_heard
@@ -53,6 +55,7 @@
 
 
 def _request_arrived(state: EdgeState, event: ev.RequestArrived, now: float) -> list[Effect]:
+    state.traffic.own.count(now)
     if state.is_loaded():
         return _start_request(state, event.request, now, now)
     if not state.store_lost_at_start and state.pending_requests.add(event.request, now):
@@ -355,6 +358,7 @@
     effects += [LogEvent(found) for found in crashes]
     effects += _advance_trials(state, now)
     effects += _send_hints(state)
+    effects += _send_limits(state, now)
     effects += _send_crashes(state, now)
     effects += advance_rollouts(state, now)
     return effects + _advance_stop(state, now)
@@ -362,21 +366,38 @@
 
 def _send_hints(state: EdgeState) -> list[Effect]:
     hints = state.fleet.hints.take()
-    if not hints:
-        return []
+    near = _members_nearby(state) if hints else ()
+    return [SendHints(near, hints)] if near else []
+
+
+def _send_limits(state: EdgeState, now: float) -> list[Effect]:
+    """Tell nearby nodes the limits that leaves have named, and all nodes this one's traffic."""
+    state.fleet.expire_limits(now)
+    effects: list[Effect] = []
+    notes = state.fleet.take_limit_notes()
+    near = _members_nearby(state) if notes else ()
+    if near:
+        effects.append(SendLimits(near, notes))
+    report = state.traffic.due_report(bool(state.fleet.limited), now)
+    others = _other_members(state) if report is not None else ()
+    if report is not None and others:
+        effects.append(SendTraffic(others, report))
+    return effects
+
+
+def _other_members(state: EdgeState) -> tuple[Member, ...]:
+    return tuple(member for member in state.members.values() if member.node != state.me.node)
+
+
+def _members_nearby(state: EdgeState) -> tuple[Member, ...]:
     region_of = state.me.region_of
     region = region_of.get(state.me.domain)
-    near = tuple(
-        member
-        for member in state.members.values()
-        if member.node != state.me.node and region_of.get(member.domain) == region
-    )
-    return [SendHints(near, hints)] if near else []
+    return tuple(m for m in _other_members(state) if region_of.get(m.domain) == region)
 
 
 def _send_crashes(state: EdgeState, now: float) -> list[Effect]:
     snapshot = state.crashes.next_broadcast(now)
-    others = tuple(m for m in state.members.values() if m.node != state.me.node)
+    others = _other_members(state) if snapshot is not None else ()
     return [SendCrashes(others, snapshot)] if snapshot is not None and others else []
 
 
@@ -385,6 +406,17 @@
     return [LogEvent(learned)] if learned is not None else []
 
 
+def _limits_heard(state: EdgeState, event: ev.LimitsHeard, now: float) -> list[Effect]:
+    for note in event.notes:
+        state.fleet.limit_heard(note, now)
+    return []
+
+
+def _traffic_heard(state: EdgeState, event: ev.TrafficHeard, now: float) -> list[Effect]:
+    state.traffic.heard(event.report, now)
+    return []
+
+
 def _hints_heard(state: EdgeState, event: ev.HintsHeard, now: float) -> list[Effect]:
     apply_hints(state.fleet, event.hints, state.fanout.rng, state.region_nodes, now)
     return []
@@ -453,6 +485,8 @@
     ev.RolloutNewsHeard: news_heard,
     ev.HintsHeard: _hints_heard,
     ev.CrashesHeard: _crashes_heard,
+    ev.LimitsHeard: _limits_heard,
+    ev.TrafficHeard: _traffic_heard,
     ev.TrialSeen: _trial_seen,
     ev.TrialRemoved: _trial_removed,
     ev.TrialsListed: _trials_listed,
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/state.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/state.py
@@ -16,6 +16,10 @@
 from cactussaddle_core.hashing import unit_interval
 from cactussaddle_core.limits.budget import RetryBudget
 from cactussaddle_core.limits.cold import calls_per_second
+from cactussaddle_core.limits.leaflimit import Audience
+from cactussaddle_core.limits.leaflimit import Quota
+from cactussaddle_core.limits.leaflimit import Traffic
+from cactussaddle_core.limits.leaflimit import share
 from cactussaddle_core.limits.members import MemberCounts
 from cactussaddle_core.rollouts.rollouts import Rollouts
 from cactussaddle_core.routing.split import WeightedRoundRobin
@@ -70,6 +74,7 @@
         self.fleet = Fleet()
         self.members: dict[str, Member] = {}
         self.member_counts = MemberCounts()
+        self.traffic = Traffic(node=me.node)
         self.region_nodes = 1
         self.crashes = CrashTracker(node=me.node, fleet=self.fleet, incarnation=str(seed))
         self.pending_requests = PendingRequests()
@@ -98,7 +103,31 @@
         """Return whether a new call may go to a leaf."""
         if not self.fleet.may_get_calls(leaf, now):
             return False
-        return not leaf.is_cold(now) or leaf.cold_meter.count(now) < self.cold_calls(leaf)
+        if leaf.is_cold(now) and leaf.cold_meter.count(now) >= self.cold_calls(leaf):
+            return False
+        return leaf.limit_per_s is None or self._quota(leaf, leaf.limit_per_s, now).allows(now)
+
+    def _quota(self, leaf: Leaf, limit_per_s: float, now: float) -> Quota:
+        """Return this node's quota at a limited leaf, with its rate kept up to date."""
+        if leaf.quota is None:
+            # Nodes that learn of a limit together must not all send their first call at once.
+            leaf.quota = Quota(tokens=self.fanout.rng.random(), now=now)
+        if leaf.quota.is_outdated(now):
+            leaf.quota.set_rate(limit_per_s * self._limit_share(leaf, now), now)
+        return leaf.quota
+
+    def _limit_share(self, leaf: Leaf, now: float) -> float:
+        region_of = self.me.region_of
+        others = self.fleet.leaves_of(leaf.entry.service)
+        audience = Audience(
+            region_of_node={
+                name: region_of.get(member.domain, "") for name, member in self.members.items()
+            },
+            node_count=self.member_count(now),
+            leaf_region=region_of.get(leaf.entry.domain, ""),
+            service_regions={region_of.get(other.entry.domain, "") for other in others},
+        )
+        return share(self.me.node, self.traffic.rates(now), audience)
 
     def is_loaded(self) -> bool:
         """Return whether the routing table and the leaves are known."""
--- a/packages/cactussaddle-core/src/cactussaddle_core/fanout/evidence.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/evidence.py
@@ -34,7 +34,7 @@
         leaf.load = end.load
         leaf.load_at = now
     if end.ending in ANSWERS and not end.wrong_leaf:
-        state.fleet.limit_named(leaf, end.limit_per_s)
+        state.fleet.limit_named(leaf, end.limit_per_s, now)
     if end.ending in COMPLETED:
         _record_for_rollout(state, call, end, now)
     if end.ending is CallEnding.ANSWERED:
--- a/packages/cactussaddle-core/src/cactussaddle_core/fanout/promises.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/promises.py
@@ -40,6 +40,11 @@
         Promise.COLD_LIMIT,
         f"{leaf.cold_meter.count(now)} calls within a second to cold leaf {leaf.name}",
     )
+    require(
+        leaf.limit_per_s is None or (leaf.quota is not None and leaf.quota.is_kept),
+        Promise.NAMED_LIMIT,
+        f"call to {leaf.name} beyond this node's share of its limit of {leaf.limit_per_s} a second",
+    )
     state.rollouts.require_may_send(part.service, leaf.entry.version, now)
 
 
--- a/packages/cactussaddle-core/src/cactussaddle_core/fanout/sending.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/sending.py
@@ -68,6 +68,8 @@
     leaf.waiting[call.call_id] = due
     if leaf.is_cold(now):
         leaf.cold_meter.record_call(now)
+    if leaf.quota is not None:
+        leaf.quota.take()
     require_may_be_sent(state, call, now)
     part.retry_at = math.inf
     schedule_hedge(state, call, due)
@@ -135,6 +137,8 @@
     if arrived:
         return
     part.arrivals -= 1
+    if call.leaf.quota is not None:
+        call.leaf.quota.refund()
     if call.extra:
         state.budget.refund(part.service, now)
 
--- a/packages/cactussaddle-core/src/cactussaddle_core/fleet/fleet.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fleet/fleet.py
@@ -18,6 +18,7 @@
 from cactussaddle_core.fleet.leaf import Leaf
 from cactussaddle_core.fleet.model import Availability
 from cactussaddle_core.fleet.probeplan import ProbePlan
+from cactussaddle_core.limits.leaflimit import LimitNote
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -27,6 +28,10 @@
 # Leaves whose entries expired during an outage register again within about two seconds of its end.
 REREGISTRATION_S = 2.3
 MAX_TRACKED = 200
+# A limit holds for as long as answers name it; nodes tell each other what they were answered.
+LIMIT_REFRESH_S = 2.0
+LIMIT_VALID_S = 8.0
+MAX_LIMIT_NOTES = 64
 
 
 class DownLeaf(NamedTuple):
@@ -37,7 +42,7 @@
 
 
 class Fleet:
-    """All leaves, indexed by id and by service.
+    """All leaves, indexed by id and by service; `limited` holds those that name a limit.
 
     Leaves in the failure domains of `domains_out` get no new calls.
     """
@@ -50,6 +55,8 @@
         self.hints = HintBuffer()
         self.probes = ProbePlan()
         self._newly_down: list[DownLeaf] = []
+        self.limited: dict[str, Leaf] = {}
+        self._limit_notes: dict[str, LimitNote] = {}
         self._limit_changes: dict[str, LeafLimited] = {}
         self._tracked: dict[str, tuple[Availability, bool, str]] = {}
         self._outage_ended_at = -math.inf
@@ -105,6 +112,7 @@
         dropped = [leaf for leaf in self.leaves.values() if now >= leaf.drop_at]
         for leaf in dropped:
             del self.leaves[leaf.name]
+            self.limited.pop(leaf.name, None)
             self.by_service[leaf.entry.service].remove(leaf)
         return dropped
 
@@ -142,11 +150,44 @@
         """Return whether the registry shows that this start of a leaf is over."""
         return not leaf.listed or self.leaves.get(leaf.name) is not leaf
 
-    def limit_named(self, leaf: Leaf, per_s: float | None) -> None:
+    def limit_named(self, leaf: Leaf, per_s: float | None, now: float) -> None:
         """Apply the limit in a leaf's answer; None if the answer names none."""
+        is_news = per_s != leaf.limit_per_s
+        if is_news or (per_s is not None and now - leaf.limit_named_at > LIMIT_REFRESH_S):
+            self._limit_notes[leaf.name] = LimitNote(leaf.name, leaf.entry.born_ms, per_s)
+        self._set_limit(leaf, per_s, now)
+
+    def limit_heard(self, note: LimitNote, now: float) -> None:
+        """Apply a limit that was named in an answer to another node."""
+        leaf = self.leaves.get(note.leaf)
+        is_valid = note.per_s is None or 0.0 <= note.per_s < math.inf
+        if leaf is not None and leaf.entry.born_ms == note.born_ms and is_valid:
+            self._set_limit(leaf, note.per_s, now)
+
+    def expire_limits(self, now: float) -> None:
+        """Lift the limits that have not been named for a while."""
+        for leaf in list(self.limited.values()):
+            if now - leaf.limit_named_at > LIMIT_VALID_S:
+                self._set_limit(leaf, None, now)
+
+    def take_limit_notes(self) -> tuple[LimitNote, ...]:
+        """Return the limits to tell other nodes, at most `MAX_LIMIT_NOTES`."""
+        notes = tuple(self._limit_notes.values())[:MAX_LIMIT_NOTES]
+        self._limit_notes.clear()
+        return notes
+
+    def _set_limit(self, leaf: Leaf, per_s: float | None, now: float) -> None:
+        leaf.limit_named_at = now
         if per_s == leaf.limit_per_s:
             return
         leaf.limit_per_s = per_s
+        if per_s is None:
+            leaf.quota = None
+            self.limited.pop(leaf.name, None)
+        else:
+            self.limited[leaf.name] = leaf
+            if leaf.quota is not None:
+                leaf.quota.renewed_at = -math.inf
         if len(self._limit_changes) < MAX_TRACKED:
             self._limit_changes[leaf.name] = LeafLimited(leaf.name, per_s)
 
@@ -185,6 +226,7 @@
         return leaf.entry.domain not in self.domains_out
 
     def _put(self, leaf: Leaf) -> None:
+        self.limited.pop(leaf.name, None)
         before = self.leaves.get(leaf.name)
         if before is not None:
             self.by_service[before.entry.service].remove(before)
--- a/packages/cactussaddle-core/src/cactussaddle_core/fleet/leaf.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fleet/leaf.py
@@ -13,6 +13,7 @@
     from cactussaddle_core.fleet.model import LeafEntry
     from cactussaddle_core.fleet.model import Load
     from cactussaddle_core.fleet.probeplan import ProbePlan
+    from cactussaddle_core.limits.leaflimit import Quota
 
 # Weight of the newest call in the moving average of the slowness.
 SLOWNESS_WEIGHT = 0.25
@@ -42,7 +43,8 @@
     `slowness` is the ratio of its latency to the usual latency of its routes. `waiting` maps each
     pending call to the time from which it is overdue. `connect_s` is the shortest connect time
     seen, about one round trip. `connection_limit` is the number of connections that this node may open to it.
-    `limit_per_s` is how many requests a second the leaf says that it takes from all nodes together.
+    `limit_per_s` is how many requests a second the leaf says that it takes from all nodes together, as
+    last said at `limit_named_at`; `quota` is this node's share of it.
     `displaced` is set when another leaf answers at its address. `broken` holds the time and request
     fingerprint of calls that broke recently, `unanswered` those of calls that this node ended after
     the leaf had sent nothing since they left.
@@ -64,6 +66,8 @@
         self.load: Load | None = None
         self.load_at = -math.inf
         self.limit_per_s: float | None = None
+        self.limit_named_at = -math.inf
+        self.quota: Quota | None = None
         self.availability = Availability.READY
         self.suspect_until = 0.0
         self.suspect_backoff_s = INITIAL_SUSPECT_BACKOFF_S
--- a/packages/cactussaddle-core/src/cactussaddle_core/fleet/probing.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fleet/probing.py
@@ -75,7 +75,7 @@
     if health.end is ProbeOutcome.NOT_CONNECTED or health.leaf != name or not health.healthy:
         fleet.suspect(leaf, Availability.DOWN, now, _cause(leaf, health))
         return
-    fleet.limit_named(leaf, health.limit_per_s)
+    fleet.limit_named(leaf, health.limit_per_s, now)
     if health.cold_left_s is not None:
         leaf.set_cold_left(health.cold_left_s, now)
     fleet.track_availability(leaf, f"probe took {1000.0 * health.work_s:.0f} ms", now)
--- a/packages/cactussaddle-core/src/cactussaddle_core/invariants.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/invariants.py
@@ -24,6 +24,7 @@
     TRUE_COVERAGE = "true-coverage"
     COLD_LIMIT = "cold-limit"
     SLOT_LIMIT = "slot-limit"
+    NAMED_LIMIT = "named-limit"
     CONNECTION_LIMIT = "connection-limit"
     DOMAIN_OUT = "domain-out"
     LEAF_LEAVING = "leaf-leaving"
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/daemon.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/daemon.py
@@ -179,12 +179,11 @@
     def gauges(self, registry_age_s: float, store_calls: int) -> dict[str, dict[str, float]]:
         """Return the current values of the gauge metrics."""
         standings = Counter(leaf.availability.value for leaf in self.state.fleet.leaves.values())
-        limited = sum(leaf.limit_per_s is not None for leaf in self.state.fleet.leaves.values())
         table = self.state.current_table.table
         return {
             "cactussaddle_requests": {"": len(self.state.fanout.queries)},
             "cactussaddle_leaves": {name: float(count) for name, count in standings.items()},
-            "cactussaddle_limited_leaves": {"": limited},
+            "cactussaddle_limited_leaves": {"": len(self.state.fleet.limited)},
             "cactussaddle_members": {"": len(self.state.members)},
             "cactussaddle_table_version": {"": table.version if table is not None else 0},
             "cactussaddle_store_calls": {"": store_calls},
@@ -344,6 +343,8 @@
     fx.SetTreePosition: EdgeDaemon._set_place,
     fx.SendHints: lambda daemon, effect: daemon.datagrams.send_hints(effect),
     fx.SendCrashes: lambda daemon, effect: daemon.datagrams.send_crashes(effect),
+    fx.SendLimits: lambda daemon, effect: daemon.datagrams.send_limits(effect),
+    fx.SendTraffic: lambda daemon, effect: daemon.datagrams.send_traffic(effect),
     fx.SendEvidence: lambda daemon, effect: daemon.datagrams.send_evidence(effect),
     fx.SendLeaderUpdate: lambda daemon, effect: daemon.datagrams.send_news(effect),
     RecordRollout: EdgeDaemon._record_rollout,
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/datagrams.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/datagrams.py
@@ -13,6 +13,8 @@
 from cactussaddle_core.edge import events as ev
 from cactussaddle_core.fleet.hints import Hint
 from cactussaddle_core.hold.table import HoldSnapshot
+from cactussaddle_core.limits.leaflimit import LimitNote
+from cactussaddle_core.limits.leaflimit import TrafficReport
 from cactussaddle_core.rollouts.model import LeaderUpdate
 
 if TYPE_CHECKING:
@@ -25,6 +27,8 @@
     from cactussaddle_core.edge.effects import SendEvidence
     from cactussaddle_core.edge.effects import SendHints
     from cactussaddle_core.edge.effects import SendLeaderUpdate
+    from cactussaddle_core.edge.effects import SendLimits
+    from cactussaddle_core.edge.effects import SendTraffic
     from cactussaddle_core.spread.model import Member
 
 MAX_DATAGRAM_BYTES = 65_536
@@ -34,6 +38,8 @@
 CRASHES = 2
 EVIDENCE = 3
 NEWS = 4
+LIMITS = 5
+TRAFFIC = 6
 
 _encoder = msgspec.msgpack.Encoder()
 _frame_decoder = msgspec.msgpack.Decoder(tuple[int, msgspec.Raw])
@@ -42,12 +48,16 @@
     CRASHES: msgspec.msgpack.Decoder(HoldSnapshot),
     EVIDENCE: msgspec.msgpack.Decoder(bytes),
     NEWS: msgspec.msgpack.Decoder(LeaderUpdate),
+    LIMITS: msgspec.msgpack.Decoder(tuple[LimitNote, ...]),
+    TRAFFIC: msgspec.msgpack.Decoder(TrafficReport),
 }
 _events: dict[int, Callable[[Any], ev.Event]] = {
     HINTS: ev.HintsHeard,
     CRASHES: ev.CrashesHeard,
     EVIDENCE: ev.RolloutEvidenceHeard,
     NEWS: ev.RolloutNewsHeard,
+    LIMITS: ev.LimitsHeard,
+    TRAFFIC: ev.TrafficHeard,
 }
 
 
@@ -81,6 +91,14 @@
         """Send the known requests that crash leaves."""
         self._send(effect.members, CRASHES, effect.snapshot)
 
+    def send_limits(self, effect: SendLimits) -> None:
+        """Send limits that leaves have named."""
+        self._send(effect.members, LIMITS, effect.notes)
+
+    def send_traffic(self, effect: SendTraffic) -> None:
+        """Send the rate of this node's requests."""
+        self._send(effect.members, TRAFFIC, effect.report)
+
     def send_evidence(self, effect: SendEvidence) -> None:
         """Send the call counts of old and new versions, the evidence for a rollout."""
         self._send(effect.members, EVIDENCE, effect.data)
--- a/tests/core/edge/limitworld.py
+++ b/tests/core/edge/limitworld.py
@@ -110,10 +110,17 @@
 
     def carry_out(self, node: Node, effect: Any) -> None:
         if isinstance(effect, fx.SendHints):
-            names = {member.node for member in effect.members}
-            for other in self.nodes:
-                if other.state.me.node in names:
-                    other.later(DATAGRAM_S, ev.HintsHeard(effect.hints))
+            self._datagram(effect.members, ev.HintsHeard(effect.hints))
+        elif isinstance(effect, fx.SendLimits):
+            self._datagram(effect.members, ev.LimitsHeard(effect.notes))
+        elif isinstance(effect, fx.SendTraffic):
+            self._datagram(effect.members, ev.TrafficHeard(effect.report))
+
+    def _datagram(self, members: Any, event: ev.Event) -> None:
+        names = {member.node for member in members}
+        for node in self.nodes:
+            if node.state.me.node in names:
+                node.later(DATAGRAM_S, event)
 
 
 def allowed(limit: float) -> float:
--- a/tests/core/fanout/test_promises.py
+++ b/tests/core/fanout/test_promises.py
@@ -57,6 +57,16 @@
         self.disable_guard()
         self.assert_violated("cold-limit")
 
+    def test_a_leaf_gets_no_more_calls_than_its_own_limit(self) -> None:
+        leaf = self.world.leaf("s0", DOMAINS[0])
+        self.world.state.fleet.limit_named(leaf, 2.0, self.world.now)
+        for _ in range(20):
+            self.world.ask()
+            self.world.run(0.01)
+        self.world.state.fleet.limit_named(leaf, 2.0, self.world.now)
+        self.disable_guard()
+        self.assert_violated("named-limit")
+
     def test_an_answer_uses_the_shards_of_one_snapshot(self) -> None:
         req_id = self.world.ask()
         query = self.fanout.queries[req_id]
--- a/tests/node/edge/test_datagrams.py
+++ b/tests/node/edge/test_datagrams.py
@@ -12,6 +12,8 @@
 from cactussaddle_core.fleet.hints import HintKind
 from cactussaddle_core.hold.table import HoldSnapshot
 from cactussaddle_core.hold.table import Strike
+from cactussaddle_core.limits.leaflimit import LimitNote
+from cactussaddle_core.limits.leaflimit import TrafficReport
 from cactussaddle_core.spread.model import Member
 from cactussaddle_node.edge.datagrams import Datagrams
 from cactussaddle_node.edge.datagrams import decode
@@ -24,6 +26,8 @@
         heard: list[Any] = []
         hint = Hint("leaf", 7, HintKind.SLOW, 8.0)
         snapshot = HoldSnapshot((Strike("f", "leaf", "7"),), ())
+        note, lifted = LimitNote("leaf", 7, 3.5), LimitNote("leaf", 7, None)
+        report = TrafficReport("n2", 12.5, True)
         member = Member("n1", "127.0.0.1", PORT, "north")
 
         async def main():
@@ -34,13 +38,23 @@
                         nursery.start_soon(there.listen)
                         sender.send_hints(fx.SendHints((member,), (hint,)))
                         sender.send_crashes(fx.SendCrashes((member,), snapshot))
+                        sender.send_limits(fx.SendLimits((member,), (note, lifted)))
+                        sender.send_traffic(fx.SendTraffic((member,), report))
                         with trio.move_on_after(2.0):
-                            while len(heard) < 2:
+                            while len(heard) < 4:
                                 await trio.sleep(0.005)
                         nursery.cancel_scope.cancel()
 
         trio.run(main)
-        self.assertEqual(heard, [ev.HintsHeard((hint,)), ev.CrashesHeard(snapshot)])
+        self.assertEqual(
+            heard,
+            [
+                ev.HintsHeard((hint,)),
+                ev.CrashesHeard(snapshot),
+                ev.LimitsHeard((note, lifted)),
+                ev.TrafficHeard(report),
+            ],
+        )
 
     def test_what_cannot_be_read_is_left_aside(self):
         for data in (b"", b"\x00", b"\x92\x63\x90", b"\x92\x01\xa3abc"):
