A leaf that says in an answer that it is leaving gets nothing new from that moment

Change: the notice is decoded from answers and health checks; the leaf is no candidate any more for this start of it, whatever older entries, listings or late answers say; nodes of the region are told once. Its removal from the store is then no crash.

--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/effects.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/effects.py
@@ -14,6 +14,7 @@
 
 if TYPE_CHECKING:
     from cactussaddle_core.fleet.hints import Hint
+    from cactussaddle_core.fleet.hints import LeavingNote
     from cactussaddle_core.fleet.leaf import Leaf
     from cactussaddle_core.hold.table import HoldSnapshot
     from cactussaddle_core.limits.leaflimit import LimitNote
@@ -74,6 +75,13 @@
     notes: tuple[LimitNote, ...]
 
 
+class SendLeaving(NamedTuple):
+    """Send the members the leaves that say that they are leaving; delivery is not guaranteed."""
+
+    members: tuple[Member, ...]
+    notes: tuple[LeavingNote, ...]
+
+
 class SendTraffic(NamedTuple):
     """Send the members the rate of this node's requests; delivery is not guaranteed."""
 
@@ -114,6 +122,7 @@
     | SendCrashes
     | SendLimits
     | SendTraffic
+    | SendLeaving
     | SendEvidence
     | SendLeaderUpdate
     | RecordRollout
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/events.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/events.py
@@ -13,6 +13,7 @@
     from cactussaddle_core.fanout.model import CallEnd
     from cactussaddle_core.fanout.model import CallerRequest
     from cactussaddle_core.fleet.hints import Hint
+    from cactussaddle_core.fleet.hints import LeavingNote
     from cactussaddle_core.fleet.model import LeafEntry
     from cactussaddle_core.fleet.probing import ProbeResult
     from cactussaddle_core.hold.table import HoldSnapshot
@@ -201,6 +202,12 @@
     notes: tuple[LimitNote, ...]
 
 
+class LeavingHeard(NamedTuple):
+    """Another node has sent the leaves that told it that they are leaving."""
+
+    notes: tuple[LeavingNote, ...]
+
+
 class TrafficHeard(NamedTuple):
     """Another node has sent the rate of its requests."""
 
@@ -279,6 +286,7 @@
     | CrashesHeard
     | LimitsHeard
     | TrafficHeard
+    | LeavingHeard
     | TrialSeen
     | TrialRemoved
     | TrialsListed
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/reduce.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/reduce.py
@@ -14,6 +14,7 @@
 from cactussaddle_core.edge.effects import LogEvent
 from cactussaddle_core.edge.effects import SendCrashes
 from cactussaddle_core.edge.effects import SendHints
+from cactussaddle_core.edge.effects import SendLeaving
 from cactussaddle_core.edge.effects import SendLimits
 from cactussaddle_core.edge.effects import SendTraffic
 from cactussaddle_core.edge.effects import SetTreePosition
@@ -359,6 +360,7 @@
     effects += _advance_trials(state, now)
     effects += _send_hints(state)
     effects += _send_limits(state, now)
+    effects += _send_leaving(state)
     effects += _send_crashes(state, now)
     effects += advance_rollouts(state, now)
     return effects + _advance_stop(state, now)
@@ -385,6 +387,16 @@
     return effects
 
 
+def _send_leaving(state: EdgeState) -> list[Effect]:
+    """Log the leaves that say that they are leaving, and tell nearby nodes."""
+    effects: list[Effect] = [
+        LogEvent(log.LeafDraining(name)) for name in state.fleet.take_newly_leaving()
+    ]
+    notes = state.fleet.take_leaving_notes()
+    near = _members_nearby(state) if notes else ()
+    return [*effects, SendLeaving(near, notes)] if near else effects
+
+
 def _other_members(state: EdgeState) -> tuple[Member, ...]:
     return tuple(member for member in state.members.values() if member.node != state.me.node)
 
@@ -412,6 +424,12 @@
     return []
 
 
+def _leaving_heard(state: EdgeState, event: ev.LeavingHeard, now: float) -> list[Effect]:
+    for note in event.notes:
+        state.fleet.leaving_heard(note)
+    return []
+
+
 def _traffic_heard(state: EdgeState, event: ev.TrafficHeard, now: float) -> list[Effect]:
     state.traffic.heard(event.report, now)
     return []
@@ -487,6 +505,7 @@
     ev.CrashesHeard: _crashes_heard,
     ev.LimitsHeard: _limits_heard,
     ev.TrafficHeard: _traffic_heard,
+    ev.LeavingHeard: _leaving_heard,
     ev.TrialSeen: _trial_seen,
     ev.TrialRemoved: _trial_removed,
     ev.TrialsListed: _trials_listed,
--- a/packages/cactussaddle-core/src/cactussaddle_core/fanout/evidence.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/evidence.py
@@ -20,7 +20,6 @@
 
 # A leaf is considered down if a connection to it could not be opened for this long.
 CONNECT_DOWN_AFTER_S = 0.25
-ANSWERS = (CallEnding.ANSWERED, CallEnding.FAILED, CallEnding.REFUSED)
 COMPLETED = (CallEnding.ANSWERED, CallEnding.FAILED, CallEnding.BROKEN)
 
 
@@ -33,8 +32,8 @@
     if end.load is not None:
         leaf.load = end.load
         leaf.load_at = now
-    if end.ending in ANSWERS and not end.wrong_leaf:
-        state.fleet.limit_named(leaf, end.limit_per_s, now)
+    if end.notice is not None:
+        state.fleet.notice_given(leaf, end.notice, now)
     if end.ending in COMPLETED:
         _record_for_rollout(state, call, end, now)
     if end.ending is CallEnding.ANSWERED:
--- a/packages/cactussaddle-core/src/cactussaddle_core/fanout/model.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/model.py
@@ -9,6 +9,7 @@
 from typing import TypeAlias
 
 if TYPE_CHECKING:
+    from cactussaddle_core.fleet.model import LeafNotice
     from cactussaddle_core.fleet.model import Load
 
 # Round-trip time to a caller that is assumed where it can't be measured.
@@ -71,8 +72,7 @@
 class CallEnd(NamedTuple):
     """The end of a call; `detail` briefly describes what was observed.
 
-    `wrong_leaf` means that another leaf now has the address. `limit_per_s` is how many requests a second
-    the leaf takes from all nodes together, if its answer named a limit.
+    `wrong_leaf` means that another leaf now has the address. `notice` is None without an answer of the leaf.
     """
 
     call_id: int
@@ -81,4 +81,4 @@
     reply: LeafReply | None = None
     load: Load | None = None
     wrong_leaf: bool = False
-    limit_per_s: float | None = None
+    notice: LeafNotice | None = None
--- a/packages/cactussaddle-core/src/cactussaddle_core/fanout/promises.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/promises.py
@@ -31,7 +31,7 @@
         f"call to {leaf.name} in failure domain {leaf.entry.domain}, which is out",
     )
     require(
-        not leaf.entry.draining and now < leaf.drop_at,
+        not leaf.is_leaving and now < leaf.drop_at,
         Promise.LEAF_LEAVING,
         f"call to {leaf.name}, which is leaving",
     )
--- a/packages/cactussaddle-core/src/cactussaddle_core/fleet/fleet.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fleet/fleet.py
@@ -8,6 +8,7 @@
 
 import math
 
+from collections import OrderedDict
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
@@ -15,6 +16,7 @@
 from cactussaddle_core.edge.logevents import LeafStanding
 from cactussaddle_core.fleet.hints import HintBuffer
 from cactussaddle_core.fleet.hints import HintKind
+from cactussaddle_core.fleet.hints import LeavingNote
 from cactussaddle_core.fleet.leaf import Leaf
 from cactussaddle_core.fleet.model import Availability
 from cactussaddle_core.fleet.probeplan import ProbePlan
@@ -24,14 +26,18 @@
     from collections.abc import Iterable
 
     from cactussaddle_core.fleet.model import LeafEntry
+    from cactussaddle_core.fleet.model import LeafNotice
 
 # Leaves whose entries expired during an outage register again within about two seconds of its end.
 REREGISTRATION_S = 2.3
 MAX_TRACKED = 200
+# Leaves that said that they were leaving, remembered in case an old listing brings them back.
+MAX_LEFT = 1024
 # A limit holds for as long as answers name it; nodes tell each other what they were answered.
 LIMIT_REFRESH_S = 2.0
 LIMIT_VALID_S = 8.0
-MAX_LIMIT_NOTES = 64
+# Notes in one message to other nodes.
+MAX_NOTES = 64
 
 
 class DownLeaf(NamedTuple):
@@ -57,6 +63,9 @@
         self._newly_down: list[DownLeaf] = []
         self.limited: dict[str, Leaf] = {}
         self._limit_notes: dict[str, LimitNote] = {}
+        self._leaving_notes: dict[str, LeavingNote] = {}
+        self._newly_leaving: list[str] = []
+        self._left: OrderedDict[str, int] = OrderedDict()
         self._limit_changes: dict[str, LeafLimited] = {}
         self._tracked: dict[str, tuple[Availability, bool, str]] = {}
         self._outage_ended_at = -math.inf
@@ -87,6 +96,9 @@
             if leaf is not None:
                 self._newly_down.append(DownLeaf(leaf, ended=True))
             started = Leaf(entry=entry, probes=self.probes, now=now)
+            started.said_leaving = (
+                entry.born_ms != 0 and self._left.get(entry.leaf) == entry.born_ms
+            )
             self._put(started)
             return started
         if entry.cold_left_s != leaf.entry.cold_left_s:
@@ -103,7 +115,7 @@
             return
         leaf.listed = False
         leaf.drop_at = now
-        if not leaf.entry.draining:
+        if not leaf.is_leaving:
             self._newly_down.append(DownLeaf(leaf, ended=True))
             leaf.drop_at = max(now, self._outage_ended_at + REREGISTRATION_S)
 
@@ -143,13 +155,45 @@
 
     def call_lost(self, leaf: Leaf) -> None:
         """Note that a call got no answer; its leaf may be known by now to have ended."""
-        if not leaf.entry.draining and self.has_ended(leaf):
+        if not leaf.is_leaving and self.has_ended(leaf):
             self._newly_down.append(DownLeaf(leaf, ended=True))
 
     def has_ended(self, leaf: Leaf) -> bool:
         """Return whether the registry shows that this start of a leaf is over."""
         return not leaf.listed or self.leaves.get(leaf.name) is not leaf
 
+    def notice_given(self, leaf: Leaf, notice: LeafNotice, now: float) -> None:
+        """Apply what a leaf says of itself in an answer."""
+        self.limit_named(leaf, notice.limit_per_s, now)
+        if notice.leaving and not leaf.said_leaving:
+            self._set_leaving(leaf)
+            if not leaf.entry.draining:
+                self._leaving_notes[leaf.name] = LeavingNote(leaf.name, leaf.entry.born_ms)
+
+    def leaving_heard(self, note: LeavingNote) -> None:
+        """Apply another node's report that a leaf says that it is leaving."""
+        leaf = self.leaves.get(note.leaf)
+        if leaf is not None and leaf.entry.born_ms == note.born_ms and not leaf.said_leaving:
+            self._set_leaving(leaf)
+
+    def take_leaving_notes(self) -> tuple[LeavingNote, ...]:
+        """Return the leaving leaves to tell other nodes, at most `MAX_NOTES`."""
+        notes = tuple(self._leaving_notes.values())[:MAX_NOTES]
+        self._leaving_notes.clear()
+        return notes
+
+    def take_newly_leaving(self) -> list[str]:
+        """Return the leaves that have said that they are leaving since the last call."""
+        leaving, self._newly_leaving = self._newly_leaving, []
+        return leaving
+
+    def _set_leaving(self, leaf: Leaf) -> None:
+        leaf.said_leaving = True
+        self._newly_leaving.append(leaf.name)
+        self._left[leaf.name] = leaf.entry.born_ms
+        while len(self._left) > MAX_LEFT:
+            self._left.popitem(last=False)
+
     def limit_named(self, leaf: Leaf, per_s: float | None, now: float) -> None:
         """Apply the limit in a leaf's answer; None if the answer names none."""
         is_news = per_s != leaf.limit_per_s
@@ -171,8 +215,8 @@
                 self._set_limit(leaf, None, now)
 
     def take_limit_notes(self) -> tuple[LimitNote, ...]:
-        """Return the limits to tell other nodes, at most `MAX_LIMIT_NOTES`."""
-        notes = tuple(self._limit_notes.values())[:MAX_LIMIT_NOTES]
+        """Return the limits to tell other nodes, at most `MAX_NOTES`."""
+        notes = tuple(self._limit_notes.values())[:MAX_NOTES]
         self._limit_notes.clear()
         return notes
 
@@ -218,10 +262,10 @@
     def may_get_calls(self, leaf: Leaf, now: float) -> bool:
         """Return whether a leaf is eligible for new calls.
 
-        It is not while it drains, its entry has been removed, another leaf answers at its address,
+        It is not while it is leaving, its entry has been removed, another leaf answers at its address,
         or its failure domain is out.
         """
-        if leaf.entry.draining or leaf.displaced or now >= leaf.drop_at:
+        if leaf.is_leaving or leaf.displaced or now >= leaf.drop_at:
             return False
         return leaf.entry.domain not in self.domains_out
 
--- a/packages/cactussaddle-core/src/cactussaddle_core/fleet/hints.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fleet/hints.py
@@ -36,6 +36,13 @@
     amount: float
 
 
+class LeavingNote(NamedTuple):
+    """A leaf has said in an answer that it is leaving; `born_ms` identifies this start of it."""
+
+    leaf: str
+    born_ms: int
+
+
 class HintBuffer:
     """Hints queued for the next message.
 
--- a/packages/cactussaddle-core/src/cactussaddle_core/fleet/leaf.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fleet/leaf.py
@@ -44,7 +44,8 @@
     pending call to the time from which it is overdue. `connect_s` is the shortest connect time
     seen, about one round trip. `connection_limit` is the number of connections that this node may open to it.
     `limit_per_s` is how many requests a second the leaf says that it takes from all nodes together, as
-    last said at `limit_named_at`; `quota` is this node's share of it.
+    last said at `limit_named_at`; `quota` is this node's share of it. `said_leaving` is set when it says in
+    an answer that it is about to stop.
     `displaced` is set when another leaf answers at its address. `broken` holds the time and request
     fingerprint of calls that broke recently, `unanswered` those of calls that this node ended after
     the leaf had sent nothing since they left.
@@ -68,6 +69,7 @@
         self.limit_per_s: float | None = None
         self.limit_named_at = -math.inf
         self.quota: Quota | None = None
+        self.said_leaving = False
         self.availability = Availability.READY
         self.suspect_until = 0.0
         self.suspect_backoff_s = INITIAL_SUSPECT_BACKOFF_S
@@ -86,6 +88,11 @@
         """The leaf's id."""
         return self.entry.leaf
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the leaf drains, by its entry or by its own answers."""
+        return self.entry.draining or self.said_leaving
+
     @property
     def in_flight(self) -> int:
         """Number of this node's calls that are still unanswered."""
--- a/packages/cactussaddle-core/src/cactussaddle_core/fleet/model.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fleet/model.py
@@ -36,6 +36,17 @@
     slots: int
 
 
+class LeafNotice(NamedTuple):
+    """What a leaf says of itself in an answer.
+
+    `limit_per_s` is how many requests a second it takes from all nodes together, None if it names no
+    limit. `leaving` means that it is about to stop.
+    """
+
+    limit_per_s: float | None = None
+    leaving: bool = False
+
+
 class Availability(enum.StrEnum):
     """Whether a leaf is believed to be available for new calls."""
 
--- a/packages/cactussaddle-core/src/cactussaddle_core/fleet/probing.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fleet/probing.py
@@ -15,6 +15,7 @@
 if TYPE_CHECKING:
     from cactussaddle_core.fleet.fleet import Fleet
     from cactussaddle_core.fleet.leaf import Leaf
+    from cactussaddle_core.fleet.model import LeafNotice
     from cactussaddle_core.fleet.model import Load
 
 
@@ -38,8 +39,8 @@
 class ProbeResult(NamedTuple):
     """The result of a probe.
 
-    `leaf` is the id of the leaf that answered; `cold_left_s`, `load` and `limit_per_s` are None if the
-    answer does not report them. `work_s` is the response time without the network round trips.
+    `leaf` is the id of the leaf that answered; `cold_left_s`, `load` and `notice` are None if the answer
+    does not report them. `work_s` is the response time without the network round trips.
     """
 
     end: ProbeOutcome
@@ -48,7 +49,7 @@
     cold_left_s: float | None
     work_s: float
     load: Load | None = None
-    limit_per_s: float | None = None
+    notice: LeafNotice | None = None
 
 
 def due_probes(fleet: Fleet, now: float) -> list[Leaf]:
@@ -72,10 +73,11 @@
         return
     if health.end is ProbeOutcome.ANSWERED and health.leaf not in ("", name):
         leaf.displaced = True
+    if health.notice is not None and health.leaf == name:
+        fleet.notice_given(leaf, health.notice, now)
     if health.end is ProbeOutcome.NOT_CONNECTED or health.leaf != name or not health.healthy:
         fleet.suspect(leaf, Availability.DOWN, now, _cause(leaf, health))
         return
-    fleet.limit_named(leaf, health.limit_per_s, now)
     if health.cold_left_s is not None:
         leaf.set_cold_left(health.cold_left_s, now)
     fleet.track_availability(leaf, f"probe took {1000.0 * health.work_s:.0f} ms", now)
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/daemon.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/daemon.py
@@ -345,6 +345,7 @@
     fx.SendCrashes: lambda daemon, effect: daemon.datagrams.send_crashes(effect),
     fx.SendLimits: lambda daemon, effect: daemon.datagrams.send_limits(effect),
     fx.SendTraffic: lambda daemon, effect: daemon.datagrams.send_traffic(effect),
+    fx.SendLeaving: lambda daemon, effect: daemon.datagrams.send_leaving(effect),
     fx.SendEvidence: lambda daemon, effect: daemon.datagrams.send_evidence(effect),
     fx.SendLeaderUpdate: lambda daemon, effect: daemon.datagrams.send_news(effect),
     RecordRollout: EdgeDaemon._record_rollout,
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/datagrams.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/datagrams.py
@@ -12,6 +12,7 @@
 
 from cactussaddle_core.edge import events as ev
 from cactussaddle_core.fleet.hints import Hint
+from cactussaddle_core.fleet.hints import LeavingNote
 from cactussaddle_core.hold.table import HoldSnapshot
 from cactussaddle_core.limits.leaflimit import LimitNote
 from cactussaddle_core.limits.leaflimit import TrafficReport
@@ -27,6 +28,7 @@
     from cactussaddle_core.edge.effects import SendEvidence
     from cactussaddle_core.edge.effects import SendHints
     from cactussaddle_core.edge.effects import SendLeaderUpdate
+    from cactussaddle_core.edge.effects import SendLeaving
     from cactussaddle_core.edge.effects import SendLimits
     from cactussaddle_core.edge.effects import SendTraffic
     from cactussaddle_core.spread.model import Member
@@ -40,6 +42,7 @@
 NEWS = 4
 LIMITS = 5
 TRAFFIC = 6
+LEAVING = 7
 
 _encoder = msgspec.msgpack.Encoder()
 _frame_decoder = msgspec.msgpack.Decoder(tuple[int, msgspec.Raw])
@@ -50,6 +53,7 @@
     NEWS: msgspec.msgpack.Decoder(LeaderUpdate),
     LIMITS: msgspec.msgpack.Decoder(tuple[LimitNote, ...]),
     TRAFFIC: msgspec.msgpack.Decoder(TrafficReport),
+    LEAVING: msgspec.msgpack.Decoder(tuple[LeavingNote, ...]),
 }
 _events: dict[int, Callable[[Any], ev.Event]] = {
     HINTS: ev.HintsHeard,
@@ -58,6 +62,7 @@
     NEWS: ev.RolloutNewsHeard,
     LIMITS: ev.LimitsHeard,
     TRAFFIC: ev.TrafficHeard,
+    LEAVING: ev.LeavingHeard,
 }
 
 
@@ -99,6 +104,10 @@
         """Send the rate of this node's requests."""
         self._send(effect.members, TRAFFIC, effect.report)
 
+    def send_leaving(self, effect: SendLeaving) -> None:
+        """Send the leaves that say that they are leaving."""
+        self._send(effect.members, LEAVING, effect.notes)
+
     def send_evidence(self, effect: SendEvidence) -> None:
         """Send the call counts of old and new versions, the evidence for a rollout."""
         self._send(effect.members, EVIDENCE, effect.data)
--- a/tests/node/edge/test_datagrams.py
+++ b/tests/node/edge/test_datagrams.py
@@ -10,6 +10,7 @@
 from cactussaddle_core.edge import events as ev
 from cactussaddle_core.fleet.hints import Hint
 from cactussaddle_core.fleet.hints import HintKind
+from cactussaddle_core.fleet.hints import LeavingNote
 from cactussaddle_core.hold.table import HoldSnapshot
 from cactussaddle_core.hold.table import Strike
 from cactussaddle_core.limits.leaflimit import LimitNote
@@ -28,6 +29,7 @@
         snapshot = HoldSnapshot((Strike("f", "leaf", "7"),), ())
         note, lifted = LimitNote("leaf", 7, 3.5), LimitNote("leaf", 7, None)
         report = TrafficReport("n2", 12.5, True)
+        leaving = LeavingNote("leaf", 7)
         member = Member("n1", "127.0.0.1", PORT, "north")
 
         async def main():
@@ -40,8 +42,9 @@
                         sender.send_crashes(fx.SendCrashes((member,), snapshot))
                         sender.send_limits(fx.SendLimits((member,), (note, lifted)))
                         sender.send_traffic(fx.SendTraffic((member,), report))
+                        sender.send_leaving(fx.SendLeaving((member,), (leaving,)))
                         with trio.move_on_after(2.0):
-                            while len(heard) < 4:
+                            while len(heard) < 5:
                                 await trio.sleep(0.005)
                         nursery.cancel_scope.cancel()
 
@@ -53,6 +56,7 @@
                 ev.CrashesHeard(snapshot),
                 ev.LimitsHeard((note, lifted)),
                 ev.TrafficHeard(report),
+                ev.LeavingHeard((leaving,)),
             ],
         )
 
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -13,6 +13,7 @@
 from cactussaddle_core.fanout.model import CallEnding
 from cactussaddle_core.fanout.model import LeafReply
 from cactussaddle_core.fleet.leaf import Leaf
+from cactussaddle_core.fleet.model import LeafNotice
 from cactussaddle_core.fleet.probeplan import ProbePlan
 from cactussaddle_platform import callers
 from cactussaddle_platform import leaves
@@ -97,11 +98,20 @@
             (503, {"not_executed": b"1"}),
         ):
             end = self.end(response(status, server_limit=b"7.5", **more))
-            self.assertEqual(end.limit_per_s, 7.5)
-        self.assertIsNone(self.end(response(200, server_stamp=b"s")).limit_per_s)
-        self.assertIsNone(self.end(response(421, server_limit=b"7.5")).limit_per_s)
+            self.assertEqual(end.notice, LeafNotice(limit_per_s=7.5))
+        self.assertEqual(self.end(response(200, server_stamp=b"s")).notice, LeafNotice())
+        self.assertIsNone(self.end(response(421, server_limit=b"7.5")).notice)
         health = leaves.decode_health(response(200, server_limit=b"3"), 0.01)
-        self.assertEqual(health.limit_per_s, 3.0)
+        self.assertEqual(health.notice, LeafNotice(limit_per_s=3.0))
+
+    def test_a_leaf_that_says_that_it_leaves_is_decoded(self):
+        answer = response(200, server_stamp=b"s", server_leaving=b"1")
+        self.assertEqual(self.end(answer).notice, LeafNotice(leaving=True))
+        self.assertEqual(
+            self.end(response(200, server_stamp=b"s", server_leaving=b"0")).notice, LeafNotice()
+        )
+        health = leaves.decode_health(response(503, server_leaving=b"1"), 0.01)
+        self.assertEqual(health.notice, LeafNotice(leaving=True))
 
     def test_an_answer_to_another_request_is_detected_by_its_id(self):
         request = decoded()
