A leaf that turns a request away with Retry-After gets nothing from that node for so long

Nothing read the header: first calls, hedges, repeats and probes went on.

Change: for the time asked, 60 s at most, the leaf is no candidate on this node; calls that still wait for a connection to it go elsewhere; its health checks wait; a search that lacks too many services for this is refused on arrival with the time to the end of the pauses.

--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/logevents.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/logevents.py
@@ -202,6 +202,14 @@
     per_s: float | None
 
 
+class LeafPaused(NamedTuple):
+    """A leaf has asked this node to send nothing for `asked_s`; the node keeps to `kept_s`."""
+
+    leaf: str
+    asked_s: float
+    kept_s: float
+
+
 class CallTrace(NamedTuple):
     """One call of a request: when it was sent and ended, why it was made, and how it ended.
 
@@ -337,7 +345,9 @@
         ReloadFailed,
     }
 )
-ROUTINE: frozenset[type[Any]] = frozenset({LeafStarted, LeafStanding, LeafLimited, CallerLeft})
+ROUTINE: frozenset[type[Any]] = frozenset(
+    {LeafStarted, LeafStanding, LeafLimited, LeafPaused, CallerLeft}
+)
 EVENTS: tuple[type[Any], ...] = (
     Started,
     Stopped,
@@ -363,6 +373,7 @@
     LeavesDropped,
     LeafStanding,
     LeafLimited,
+    LeafPaused,
     RequestEnded,
     RequestRefused,
     LeafCrashed,
--- a/packages/cactussaddle-core/src/cactussaddle_core/fanout/admit.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/admit.py
@@ -45,7 +45,9 @@
     servable = sum(1 for wait_s in waits if wait_s is not None)
     if servable < query.needed():
         reason = f"{servable} of {len(waits)} services can be asked"
-        return Refusal(reason, with_jitter(state, NO_LEAF_RETRY_S))
+        shortfall = query.needed() - servable
+        retry_s = max(NO_LEAF_RETRY_S, _pause_left_s(state, query, shortfall, now))
+        return Refusal(reason, with_jitter(state, retry_s))
     if not query.gathers:
         return None
     remaining_s = query.answer_by - now
@@ -59,6 +61,16 @@
     return Refusal(reason, with_jitter(state, min(max(over_s, MIN_RETRY_S), MAX_RETRY_S)))
 
 
+def _pause_left_s(state: FanoutState, query: Query, shortfall: int, now: float) -> float:
+    """Return the time until enough services have a leaf again that does not ask for a pause; 0 if none does."""
+    ends = []
+    for part in query.parts:
+        pauses = [leaf.pause_until - now for leaf in state.fleet.leaves_of(part.service)]
+        if pauses and min(pauses) > 0.0:
+            ends.append(min(pauses))
+    return sorted(ends)[shortfall - 1] if len(ends) >= shortfall else 0.0
+
+
 def _best_expected_s(state: FanoutState, part: Part, now: float) -> float | None:
     """Return the expected time of a part at its best leaf, in seconds; 0 if a slot is free.
 
--- a/packages/cactussaddle-core/src/cactussaddle_core/fanout/evidence.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/evidence.py
@@ -34,6 +34,8 @@
         leaf.load_at = now
     if end.notice is not None:
         state.fleet.notice_given(leaf, end.notice, now)
+        if now < leaf.pause_until:
+            _review_unsent_calls(state, leaf, now)
     if end.ending in COMPLETED:
         _record_for_rollout(state, call, end, now)
     if end.ending is CallEnding.ANSWERED:
@@ -70,6 +72,14 @@
         leaf.record_slowness(elapsed_s / state.timings.median_s(route), now)
 
 
+def _review_unsent_calls(state: FanoutState, leaf: Leaf, now: float) -> None:
+    """Have the calls that wait for a connection to a leaf sent elsewhere."""
+    for call in [state.calls[call_id] for call_id in leaf.waiting if call_id in state.calls]:
+        if not call.left and not call.abandoned:
+            call.part.hedge_at = now
+            state.review_at(call.part.query, now)
+
+
 def _record_for_rollout(state: FanoutState, call: Call, end: CallEnd, now: float) -> None:
     """Record a call as evidence for its service's rollout, if one is under way.
 
--- a/packages/cactussaddle-core/src/cactussaddle_core/fanout/hedging.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/hedging.py
@@ -73,6 +73,8 @@
 def _is_locally_delayed(state: FanoutState, call: Call, now: float) -> bool:
     """Return whether this node's own lag may explain a late call; if so, its hedge is deferred."""
     part = call.part
+    if not call.left and now < call.leaf.pause_until:
+        return False
     if not call.left and state.loop_lag.is_sending(now):
         part.hedge_at = now + MAX_SEND_GAP_S
         return True
--- a/packages/cactussaddle-core/src/cactussaddle_core/fanout/promises.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/promises.py
@@ -45,6 +45,11 @@
         Promise.NAMED_LIMIT,
         f"call to {leaf.name} beyond this node's share of its limit of {leaf.limit_per_s} a second",
     )
+    require(
+        now >= leaf.pause_until,
+        Promise.LEAF_PAUSE,
+        f"call to {leaf.name}, which wants nothing for {leaf.pause_until - now:.1f} s",
+    )
     state.rollouts.require_may_send(part.service, leaf.entry.version, now)
 
 
--- a/packages/cactussaddle-core/src/cactussaddle_core/fleet/fleet.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fleet/fleet.py
@@ -13,6 +13,7 @@
 from typing import NamedTuple
 
 from cactussaddle_core.edge.logevents import LeafLimited
+from cactussaddle_core.edge.logevents import LeafPaused
 from cactussaddle_core.edge.logevents import LeafStanding
 from cactussaddle_core.fleet.hints import HintBuffer
 from cactussaddle_core.fleet.hints import HintKind
@@ -31,6 +32,8 @@
 # Leaves whose entries expired during an outage register again within about two seconds of its end.
 REREGISTRATION_S = 2.3
 MAX_TRACKED = 200
+# Longer pauses than this are kept in part: a leaf that asks for days can't be meant.
+MAX_PAUSE_S = 60.0
 # Leaves that said that they were leaving, remembered in case an old listing brings them back.
 MAX_LEFT = 1024
 # A limit holds for as long as answers name it; nodes tell each other what they were answered.
@@ -65,6 +68,7 @@
         self._limit_notes: dict[str, LimitNote] = {}
         self._leaving_notes: dict[str, LeavingNote] = {}
         self._newly_leaving: list[str] = []
+        self._newly_paused: dict[str, LeafPaused] = {}
         self._left: OrderedDict[str, int] = OrderedDict()
         self._limit_changes: dict[str, LeafLimited] = {}
         self._tracked: dict[str, tuple[Availability, bool, str]] = {}
@@ -165,11 +169,24 @@
     def notice_given(self, leaf: Leaf, notice: LeafNotice, now: float) -> None:
         """Apply what a leaf says of itself in an answer."""
         self.limit_named(leaf, notice.limit_per_s, now)
+        if notice.pause_s is not None:
+            self._pause(leaf, notice.pause_s, now)
         if notice.leaving and not leaf.said_leaving:
             self._set_leaving(leaf)
             if not leaf.entry.draining:
                 self._leaving_notes[leaf.name] = LeavingNote(leaf.name, leaf.entry.born_ms)
 
+    def take_newly_paused(self) -> list[LeafPaused]:
+        """Return the leaves that have asked for a pause since the last call, with the newest one."""
+        paused, self._newly_paused = self._newly_paused, {}
+        return list(paused.values())
+
+    def _pause(self, leaf: Leaf, pause_s: float, now: float) -> None:
+        kept_s = min(pause_s, MAX_PAUSE_S)
+        leaf.pause_until = max(leaf.pause_until, now + kept_s)
+        if len(self._newly_paused) < MAX_TRACKED:
+            self._newly_paused[leaf.name] = LeafPaused(leaf.name, pause_s, kept_s)
+
     def leaving_heard(self, note: LeavingNote) -> None:
         """Apply another node's report that a leaf says that it is leaving."""
         leaf = self.leaves.get(note.leaf)
@@ -263,10 +280,12 @@
         """Return whether a leaf is eligible for new calls.
 
         It is not while it is leaving, its entry has been removed, another leaf answers at its address,
-        or its failure domain is out.
+        its failure domain is out, or it has asked this node for a pause.
         """
         if leaf.is_leaving or leaf.displaced or now >= leaf.drop_at:
             return False
+        if now < leaf.pause_until:
+            return False
         return leaf.entry.domain not in self.domains_out
 
     def _put(self, leaf: Leaf) -> None:
--- a/packages/cactussaddle-core/src/cactussaddle_core/fleet/leaf.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fleet/leaf.py
@@ -45,7 +45,7 @@
     seen, about one round trip. `connection_limit` is the number of connections that this node may open to it.
     `limit_per_s` is how many requests a second the leaf says that it takes from all nodes together, as
     last said at `limit_named_at`; `quota` is this node's share of it. `said_leaving` is set when it says in
-    an answer that it is about to stop.
+    an answer that it is about to stop. Until `pause_until` it wants nothing from this node.
     `displaced` is set when another leaf answers at its address. `broken` holds the time and request
     fingerprint of calls that broke recently, `unanswered` those of calls that this node ended after
     the leaf had sent nothing since they left.
@@ -70,6 +70,7 @@
         self.limit_named_at = -math.inf
         self.quota: Quota | None = None
         self.said_leaving = False
+        self.pause_until = -math.inf
         self.availability = Availability.READY
         self.suspect_until = 0.0
         self.suspect_backoff_s = INITIAL_SUSPECT_BACKOFF_S
--- a/packages/cactussaddle-core/src/cactussaddle_core/fleet/model.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fleet/model.py
@@ -40,11 +40,13 @@
     """What a leaf says of itself in an answer.
 
     `limit_per_s` is how many requests a second it takes from all nodes together, None if it names no
-    limit. `leaving` means that it is about to stop.
+    limit. `leaving` means that it is about to stop. `pause_s` is for how long it wants nothing from the node
+    that got the answer, None if it asks for no pause.
     """
 
     limit_per_s: float | None = None
     leaving: bool = False
+    pause_s: float | None = None
 
 
 class Availability(enum.StrEnum):
--- a/packages/cactussaddle-core/src/cactussaddle_core/fleet/probing.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fleet/probing.py
@@ -53,8 +53,15 @@
 
 
 def due_probes(fleet: Fleet, now: float) -> list[Leaf]:
-    """Return the leaves to probe now and remove them from the schedule."""
-    return [fleet.leaves[name] for name in fleet.probes.take_due(now) if name in fleet.leaves]
+    """Return the leaves to probe now and remove them from the schedule.
+
+    The probe of a leaf that has asked for a pause is put off until its end.
+    """
+    due = [fleet.leaves[name] for name in fleet.probes.take_due(now) if name in fleet.leaves]
+    for leaf in due:
+        if now < leaf.pause_until:
+            fleet.probes.schedule(leaf.name, leaf.pause_until)
+    return [leaf for leaf in due if now >= leaf.pause_until]
 
 
 def apply_probe_result(fleet: Fleet, name: str, health: ProbeResult, now: float) -> None:
--- a/packages/cactussaddle-core/src/cactussaddle_core/invariants.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/invariants.py
@@ -25,6 +25,7 @@
     COLD_LIMIT = "cold-limit"
     SLOT_LIMIT = "slot-limit"
     NAMED_LIMIT = "named-limit"
+    LEAF_PAUSE = "leaf-pause"
     CONNECTION_LIMIT = "connection-limit"
     DOMAIN_OUT = "domain-out"
     LEAF_LEAVING = "leaf-leaving"
--- a/tests/platform/test_numbers.py
+++ b/tests/platform/test_numbers.py
@@ -4,6 +4,7 @@
 
 from cactussaddle_platform.numbers import read_ms
 from cactussaddle_platform.numbers import read_rate
+from cactussaddle_platform.numbers import read_seconds
 
 
 class NumbersTest(unittest.TestCase):
@@ -17,6 +18,11 @@
         for value in (b"", b"x", b"-1", b"nan", b"inf", b"1,2"):
             self.assertIsNone(read_rate(value), value)
 
+    def test_seconds(self):
+        self.assertEqual([read_seconds(b"1.5"), read_seconds(b"90000")], [1.5, 90000.0])
+        for value in (b"", b"x", b"-1", b"0", b"nan", b"inf", b"Fri, 31 Dec 1999 23:59:59 GMT"):
+            self.assertIsNone(read_seconds(value), value)
+
     def test_anything_but_a_finite_number_gives_none(self):
         for value in (b"", b"x", b"nan", b"inf", b"-inf", b"1e999", b"\xff", b"1,5"):
             self.assertIsNone(read_ms(value), value)
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -113,6 +113,18 @@
         health = leaves.decode_health(response(503, server_leaving=b"1"), 0.01)
         self.assertEqual(health.notice, LeafNotice(leaving=True))
 
+    def test_a_pause_that_a_leaf_asks_for_is_decoded(self):
+        refused = self.end(response(503, not_executed=b"1", retry_after=b"2.5"))
+        self.assertEqual(
+            (refused.ending, refused.notice), (CallEnding.REFUSED, LeafNotice(pause_s=2.5))
+        )
+        failed = self.end(response(503, server_stamp=b"s", retry_after=b"2.5"))
+        self.assertEqual(failed.notice, LeafNotice(pause_s=2.5))
+        self.assertEqual(self.end(response(503, retry_after=b"soon")).notice, LeafNotice())
+        self.assertEqual(
+            self.end(response(200, server_stamp=b"s", retry_after=b"9")).notice, LeafNotice()
+        )
+
     def test_an_answer_to_another_request_is_detected_by_its_id(self):
         request = decoded()
         self.assertTrue(leaves.is_answer_to(request, response(request_id=b"9c41")))
