Cold leaves: nodes whose entries have lapsed still count in the shares of a cold leaf's limit

Cause: each node divided a cold leaf's rate by the nodes in the store at that moment; the retry budget already counted those of the last 15 s.

Change: RecentMembers keeps the names for 15 s, and both limits use it.

--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/state.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/state.py
@@ -20,7 +20,7 @@
 from cactussaddle_core.limits.leaflimit import Quota
 from cactussaddle_core.limits.leaflimit import Traffic
 from cactussaddle_core.limits.leaflimit import share
-from cactussaddle_core.limits.members import MemberCounts
+from cactussaddle_core.limits.members import RecentMembers
 from cactussaddle_core.rollouts.rollouts import Rollouts
 from cactussaddle_core.routing.split import WeightedRoundRobin
 from cactussaddle_core.routing.table import CurrentTable
@@ -73,7 +73,7 @@
         self.round_robin = WeightedRoundRobin()
         self.fleet = Fleet()
         self.members: dict[str, Member] = {}
-        self.member_counts = MemberCounts()
+        self.recent_members = RecentMembers()
         self.traffic = Traffic(node=me.node)
         self.region_nodes = 1
         self.crashes = CrashTracker(node=me.node, fleet=self.fleet, incarnation=str(seed))
@@ -103,7 +103,7 @@
         """Return whether a new call may go to a leaf."""
         if not self.fleet.may_get_calls(leaf, now):
             return False
-        if leaf.is_cold(now) and leaf.cold_meter.count(now) >= self.cold_calls(leaf):
+        if leaf.is_cold(now) and leaf.cold_meter.count(now) >= self.cold_calls(leaf, now):
             return False
         return leaf.limit_per_s is None or self._quota(leaf, leaf.limit_per_s, now).allows(now)
 
@@ -174,13 +174,13 @@
         region = region_of.get(self.me.domain)
         near = sum(1 for member in members.values() if region_of.get(member.domain) == region)
         self.region_nodes = max(1, near)
-        self.member_counts.saw(len(members), now)
+        self.recent_members.saw(members, now)
         self.rollouts.set_members(members, now)
         self.budget.nodes = self.member_count(now)
 
     def member_count(self, now: float) -> int:
         """Return the number of nodes by which the common limits are divided."""
-        return self.member_counts.most(now) or ASSUMED_MEMBERS
+        return self.recent_members.count(now) or ASSUMED_MEMBERS
 
     def _is_same_region(self, leaf: Leaf) -> bool:
         region_of = self.me.region_of
@@ -189,11 +189,11 @@
     def _is_initial_prober(self, leaf: Leaf) -> bool:
         return unit_interval(leaf.name, self.me.node) * self.region_nodes < INITIAL_PROBERS
 
-    def cold_calls(self, leaf: Leaf) -> float:
+    def cold_calls(self, leaf: Leaf, now: float) -> float:
         """Return how many calls per second this node may send to a leaf while it is cold."""
         table = self.current_table.table
         spec = table.services.get(leaf.entry.service) if table is not None else None
         if spec is None or spec.cold_rate <= 0.0:
             return math.inf
-        members = sorted(self.members) or [self.me.node]
+        members = self.recent_members.names(now) or [self.me.node]
         return calls_per_second(self.rules.cold, spec.cold_rate, leaf.name, self.me.node, members)
--- a/packages/cactussaddle-core/src/cactussaddle_core/fanout/state.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/state.py
@@ -219,7 +219,7 @@
 class FanoutState:
     """All queries and calls in progress on one node.
 
-    `may_call(leaf, now)` returns whether a new call may be sent to a leaf. `cold_calls(leaf)` returns
+    `may_call(leaf, now)` returns whether a new call may be sent to a leaf. `cold_calls(leaf, now)` returns
     how many calls per second this node may send to a leaf while it is cold. `ran_well(fingerprint,
     leaf, now)` is called for each request that a leaf completed successfully.
     """
@@ -231,7 +231,7 @@
         budget: RetryBudget,
         rollouts: Rollouts,
         may_call: Callable[[Leaf, float], bool],
-        cold_calls: Callable[[Leaf], float],
+        cold_calls: Callable[[Leaf, float], float],
         ran_well: Callable[[str, str, float], None],
         own_domain: str,
         region_of: Mapping[str, str],
--- a/tests/core/limits/test_limits.py
+++ b/tests/core/limits/test_limits.py
@@ -8,7 +8,7 @@
 from cactussaddle_core.limits.cold import ColdMeter
 from cactussaddle_core.limits.cold import ColdRules
 from cactussaddle_core.limits.cold import calls_per_second
-from cactussaddle_core.limits.members import MemberCounts
+from cactussaddle_core.limits.members import RecentMembers
 
 RULES = BudgetRules(ratio=0.2, allowance=56.0, window_s=10.0)
 
@@ -70,12 +70,32 @@
         self.assertEqual((meter.count(1.95), meter.count(2.2), meter.count(4.0)), (3, 2, 0))
 
 
-class MemberCountsTest(unittest.TestCase):
+class RecentMembersTest(unittest.TestCase):
     def test_members_that_left_count_for_a_while(self):
-        counts = MemberCounts()
-        counts.saw(9, 0.0)
-        counts.saw(3, 10.0)
-        self.assertEqual((counts.most(11.0), counts.most(26.0)), (9, 3))
+        members = RecentMembers()
+        members.saw([f"n{number}" for number in range(9)], 0.0)
+        members.saw(["n0", "n1", "n2"], 10.0)
+        self.assertEqual((members.count(11.0), members.count(26.0)), (9, 3))
+        self.assertEqual(members.names(26.0), ["n0", "n1", "n2"])
+
+    def test_entries_that_lapse_make_the_shares_of_a_cold_leaf_too_large(self):
+        names = [f"n{number}" for number in range(9)]
+        rules = ColdRules(over=1.5, slack=5.0)
+        members = {name: RecentMembers() for name in names}
+        for name in names:
+            members[name].saw(names, 0.0)
+            members[name].saw([name], 10.0)
+        shares = [
+            calls_per_second(rules, 10.0, "leaf", name, members[name].names(11.0)) for name in names
+        ]
+        self.assertLessEqual(sum(shares), 10.0 * rules.over + rules.slack)
+
+    def test_a_member_that_is_back_counts_once(self):
+        members = RecentMembers()
+        members.saw(["n0", "n1"], 0.0)
+        members.saw(["n0"], 10.0)
+        members.saw(["n0", "n1"], 12.0)
+        self.assertEqual(members.names(13.0), ["n0", "n1"])
 
 
 class RestartTest(unittest.TestCase):
