Store readers check a running watch against the store's revision

Cause: the answer of a reader's watch was lost, and the only guard, the renewal of the node's lease, goes over another connection and shows that the store is there, not that the watch has missed nothing; it even renewed the age of the records.

Change: while a watch runs, a reader reads the store's revision each second (a listing of a prefix that no key has). No answer in 0.8 s, or a revision that the watch has not brought 0.7 s later, ends the watch, and the store is polled. The renewals confirm nothing any more. Cost: one call a second for each region's reader.

Tests: a lost answer of a watch is found within 3 s. The test that nodes are fresh without asking the store while nothing changes now bounds the checks as well, one a second and reader; its bound on reads of records is unchanged.

--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/follow.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/follow.py
@@ -1,10 +1,10 @@
 """Keeps a local copy of the store's records up to date, from other nodes or from the store itself.
 
-A watch at the store whose response was lost never returns, and its connection shows no error. The
-renewals of this node's registration lease, which store readers send often, therefore serve as a
-liveness check: when a renewal fails, the watch is cancelled and the store is polled until it
-answers. A followed node answers within a short time even without changes, so an ordinary time-out
-detects its failure.
+A watch at the store whose response was lost never returns, and its connection shows no error. While a
+watch runs, the store is therefore asked for its revision often: if it does not answer, or has a newer
+revision that the watch does not bring, the watch is cancelled and the store is polled until it answers.
+A followed node answers within a short time even without changes, so an ordinary time-out detects its
+failure.
 """
 
 from __future__ import annotations
@@ -35,6 +35,11 @@
     from cactussaddle_core.spread.model import Member
     from cactussaddle_core.spread.model import Record
 
+# Interval of the checks of a running watch, and their time-out.
+CHECK_INTERVAL_S = 1.0
+CHECK_TIMEOUT_S = 0.8
+# Time for a running watch to bring a change that the store already has.
+DELIVERY_S = 0.7
 # Longest wait of one watch request to the store.
 WATCH_TIMEOUT_S = 20.0
 # The same for a node that should normally follow another node: it soon checks whether that node
@@ -65,6 +70,10 @@
         """Wait up to `wait_s` for changes after a revision; None when they have been compacted."""
         ...
 
+    async def newest_revision(self) -> Result[int, StoreError]:
+        """Read the store's revision."""
+        ...
+
 
 class PeerSource(Protocol):
     """Reads records from other nodes."""
@@ -122,12 +131,30 @@
         """Return the time since the store confirmed the local records as current."""
         return now - self.confirmed_at
 
-    def confirm(self) -> None:
-        """Record that the store answers, and so that the running watch has missed no change."""
-        if self._watch_trusted:
-            now = trio.current_time()
-            self.outages.answered(now, now)
-            self._record_confirmation(now)
+    async def run_checks(self) -> None:
+        """Check the running watch of a store reader until cancelled."""
+        while True:
+            await trio.sleep(CHECK_INTERVAL_S)
+            if self.choice.reads_store and self._watch_scope is not None:
+                await self._check_watch()
+
+    async def _check_watch(self) -> None:
+        asked_at = trio.current_time()
+        asked = None
+        with trio.move_on_after(CHECK_TIMEOUT_S):
+            asked = await self._store.newest_revision()
+        if asked is None or isinstance(asked, Failure):
+            reason = "time-out" if asked is None else asked.failure().detail
+            self.interrupt_watch(f"store's revision: {reason}")
+            return
+        revision = asked.unwrap()
+        if revision > self.log.revision:
+            await trio.sleep(DELIVERY_S)
+        if revision > self.log.revision:
+            self.interrupt_watch(f"watch has not brought revision {revision}")
+        elif self._watch_trusted:
+            self.outages.answered(asked_at, trio.current_time())
+            self._record_confirmation(asked_at)
 
     def interrupt_watch(self, reason: str) -> None:
         """Cancel a running watch whose response may be lost, so that the store is asked again."""
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/serve.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/serve.py
@@ -104,9 +104,9 @@
         nursery.start_soon(guard.run_restarting, "timers", daemon.run_timers)
         nursery.start_soon(guard.run_restarting, "datagrams", daemon.datagrams.listen)
         nursery.start_soon(guard.run_restarting, "follower", follower.run)
+        nursery.start_soon(guard.run_restarting, "watch checks", follower.run_checks)
         registration = RegisterHooks(
             note=daemon.note,
-            answered=follower.confirm,
             unanswered=follower.interrupt_watch,
             reads_store=lambda: follower.choice.reads_store,
         )
--- a/tests/node/edge/fleetnet.py
+++ b/tests/node/edge/fleetnet.py
@@ -39,7 +39,6 @@
 LINK_BITS_PER_S = 10e6
 TRIP_S = 0.01
 STORE_TRIP_S = 0.005
-RENEW_EVERY_S = 1.0
 LEAF_PREFIX = "leaf/"
 NO_ANSWER_S = 1.0
 UNAVAILABLE_RESULT = Failure(StoreError(StoreErrorKind.UNAVAILABLE, "out"))
@@ -106,15 +105,13 @@
         news = tuple(r for r in self.net.records if r.revision > after)
         return Success(Batch(news, self.net.revision, False, 0.0))
 
-    async def renew(self) -> None:
-        while True:
-            await trio.sleep(RENEW_EVERY_S)
-            if not self.follower.choice.reads_store:
-                continue
-            if self.refused:
-                self.follower.interrupt_watch("renewal")
-            else:
-                self.follower.confirm()
+    async def newest_revision(self):
+        self.net.store_checks += 1
+        if self.refused:
+            await trio.sleep(NO_ANSWER_S)
+            return UNAVAILABLE_RESULT
+        await trio.sleep(STORE_TRIP_S)
+        return Success(self.net.revision)
 
     async def answer(self, after: int, known_s: float) -> Response:
         """Answer another node as `PeerServer` does, over this node's limited link."""
@@ -138,6 +135,7 @@
         self.revision = 1
         self.written = trio.Event()
         self.store_calls = 0
+        self.store_checks = 0
         members = [
             Member(f"{domain}-{n}", "10.0.0.1", 1, domain)
             for domain in domains
@@ -182,7 +180,7 @@
         async with trio.open_nursery() as nursery:
             for node in self.nodes.values():
                 nursery.start_soon(node.follower.run)
-                nursery.start_soon(node.renew)
+                nursery.start_soon(node.follower.run_checks)
             await trio.sleep(5.0)
             await body()
             nursery.cancel_scope.cancel()
--- a/tests/node/edge/test_fleetnet.py
+++ b/tests/node/edge/test_fleetnet.py
@@ -9,6 +9,7 @@
 import trio
 import trio.testing
 
+from cactussaddle_node.edge.follow import CHECK_INTERVAL_S
 from tests.node.edge.fleetnet import FleetNet
 
 DOMAINS = {"a1": "a", "a2": "a", "b1": "b", "b2": "b", "c1": "c", "c2": "c"}
@@ -124,15 +125,20 @@
 
         self.run_net(body, nodes_per_domain=2)
 
-    def test_nodes_are_fresh_without_asking_the_store_while_nothing_changes(self):
+    def test_nodes_are_fresh_with_few_calls_to_the_store_while_nothing_changes(self):
         async def body(net):
             calls = net.store_calls
+            checks = net.store_checks
+            began = trio.current_time()
             for _ in range(20):
                 await trio.sleep(1.03)
                 now = trio.current_time()
                 ages = [node.follower.age_s(now) for node in net.nodes.values()]
                 self.assertLess(max(ages), 2.5)
             self.assertLessEqual(net.store_calls - calls, 2 * len(net.readers()))
+            took_s = trio.current_time() - began
+            per_reader = took_s / CHECK_INTERVAL_S + 1.0
+            self.assertLessEqual(net.store_checks - checks, per_reader * len(net.readers()))
 
         self.run_net(body)
 
--- a/tests/node/edge/test_follow.py
+++ b/tests/node/edge/test_follow.py
@@ -20,6 +20,8 @@
 UNAVAILABLE_RESULT = Failure(StoreError(StoreErrorKind.UNAVAILABLE, "out"))
 
 
+# The strictest time within which a deployment wants changes in force.
+IN_FORCE_S = 3.0
 REMOVALS = [ev.RecordRejected("a", "None")]
 
 
@@ -48,6 +50,10 @@
         kept = tuple(record for record in newest.values() if record.value is not None)
         return Success(Batch(kept, self.revision, True, 0.0))
 
+    async def newest_revision(self):
+        await trio.sleep(0.01)
+        return UNAVAILABLE_RESULT if self.out else Success(self.revision)
+
     async def changes(self, after: int, wait_s: float):
         self.watches += 1
         if self.hangs and wait_s > 0.0:
@@ -171,6 +177,33 @@
 
         self.follow(body)
 
+    def test_a_lost_answer_of_the_watch_leaves_old_records_in_force(self):
+        async def body(follower):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(follower.run_checks)
+                await trio.sleep(5.0)
+                self.store.hangs = True
+                await trio.sleep(25.0)
+                self.store.write("b", b"1")
+                await trio.sleep(IN_FORCE_S)
+                self.assertEqual(self.keys(), ["listing", "b"])
+                nursery.cancel_scope.cancel()
+
+        self.follow(body)
+
+    def test_records_stay_confirmed_while_the_watch_misses_nothing(self):
+        async def body(follower):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(follower.run_checks)
+                await trio.sleep(15.0)
+                self.assertLess(follower.age_s(trio.current_time()), 1.5)
+                self.store.out = True
+                await trio.sleep(4.0)
+                self.assertGreater(follower.age_s(trio.current_time()), 2.0)
+                nursery.cancel_scope.cancel()
+
+        self.follow(body)
+
     def test_an_outage_is_told_and_its_end(self):
         async def body(follower):
             self.store.out = True
