Cold leaves: a leaf that is down gets no more calls than a cold one

Cause: while all leaves of a shard are down they are called as a last resort, without any bound; when one returns before this node has read its new entry, it gets these calls as if it were warm.

Change: a leaf that is down may be starting again, so its calls are counted and bounded as a cold leaf's.

--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/state.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/state.py
@@ -103,7 +103,7 @@
         """Return whether a new call may go to a leaf."""
         if not self.fleet.may_get_calls(leaf, now):
             return False
-        if leaf.is_cold(now) and leaf.cold_meter.count(now) >= self.cold_calls(leaf, now):
+        if leaf.may_be_cold(now) and leaf.cold_meter.count(now) >= self.cold_calls(leaf, now):
             return False
         return leaf.limit_per_s is None or self._quota(leaf, leaf.limit_per_s, now).allows(now)
 
--- a/packages/cactussaddle-core/src/cactussaddle_core/fanout/promises.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/promises.py
@@ -36,7 +36,7 @@
         f"call to {leaf.name}, which is leaving",
     )
     require(
-        not leaf.is_cold(now) or leaf.cold_meter.count(now) <= state.cold_calls(leaf, now),
+        not leaf.may_be_cold(now) or leaf.cold_meter.count(now) <= state.cold_calls(leaf, now),
         Promise.COLD_LIMIT,
         f"{leaf.cold_meter.count(now)} calls within a second to cold leaf {leaf.name}",
     )
--- a/packages/cactussaddle-core/src/cactussaddle_core/fleet/leaf.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fleet/leaf.py
@@ -103,6 +103,10 @@
         """Return whether the leaf is still limited to its cold rate."""
         return now < self.cold_until
 
+    def may_be_cold(self, now: float) -> bool:
+        """Return whether the leaf is cold, or is down and so may be starting again."""
+        return self.is_cold(now) or self.availability is Availability.DOWN
+
     def is_stalled(self, now: float) -> bool:
         """Return whether a call is overdue: the leaf may be paused or unreachable."""
         return any(overdue_at <= now for overdue_at in self.waiting.values())
