--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/reduce.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/reduce.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
-from cactussaddle_core.codes import ResultCode
 from cactussaddle_core.edge import events as ev
 from cactussaddle_core.edge import logevents as log
 from cactussaddle_core.edge.effects import CloseIdle
@@ -13,11 +12,13 @@
 from cactussaddle_core.edge.effects import KeepConnections
 from cactussaddle_core.edge.effects import LogEvent
 from cactussaddle_core.edge.effects import SendCrashes
-from cactussaddle_core.edge.effects import SendHints
-from cactussaddle_core.edge.effects import SendLeaving
-from cactussaddle_core.edge.effects import SendLimits
-from cactussaddle_core.edge.effects import SendTraffic
 from cactussaddle_core.edge.effects import SetTreePosition
+from cactussaddle_core.edge.exchange import crashes_heard
+from cactussaddle_core.edge.exchange import hints_heard
+from cactussaddle_core.edge.exchange import leaving_heard
+from cactussaddle_core.edge.exchange import limits_heard
+from cactussaddle_core.edge.exchange import send_messages
+from cactussaddle_core.edge.exchange import traffic_heard
 from cactussaddle_core.edge.rolling import advance_rollouts
 from cactussaddle_core.edge.rolling import evidence_heard
 from cactussaddle_core.edge.rolling import news_heard
@@ -25,14 +26,18 @@
 from cactussaddle_core.edge.rolling import rollout_ordered
 from cactussaddle_core.edge.rolling import rollout_status_seen
 from cactussaddle_core.edge.rolling import rollouts_listed
+from cactussaddle_core.edge.starting import decline_not_loaded
+from cactussaddle_core.edge.starting import start_request
 from cactussaddle_core.edge.state import HOUSEKEEPING_S
+from cactussaddle_core.edge.trying import advance_trials
+from cactussaddle_core.edge.trying import trial_removed
+from cactussaddle_core.edge.trying import trial_seen
+from cactussaddle_core.edge.trying import trial_written
+from cactussaddle_core.edge.trying import trials_listed
 from cactussaddle_core.fanout import reduce as fanout
-from cactussaddle_core.fanout.effects import Declined
 from cactussaddle_core.fanout.effects import ProbeLeaf
-from cactussaddle_core.fleet.applyhints import apply_hints
 from cactussaddle_core.fleet.probing import apply_probe_result
 from cactussaddle_core.fleet.probing import due_probes
-from cactussaddle_core.hold.trials import RETRY_AFTER_S
 from cactussaddle_core.invariants import Promise
 from cactussaddle_core.invariants import require
 from cactussaddle_core.spread.tree import tree_position
@@ -42,13 +47,8 @@
 
     from cactussaddle_core.edge.effects import Effect
     from cactussaddle_core.edge.state import EdgeState
-    from cactussaddle_core.fanout.model import CallerRequest
     from cactussaddle_core.spread.model import Member
 
-# Retry delay for callers of a node that is not ready; the retry is likely to reach another node.
-NOT_READY_RETRY_S = 0.2
-NOT_LOADED = "routing table and leaf registry are not loaded yet"
-
 
 def reduce(state: EdgeState, event: ev.Event, now: float) -> list[Effect]:
     """Handle one event; return the effects to carry out."""
@@ -58,88 +58,10 @@
 def _request_arrived(state: EdgeState, event: ev.RequestArrived, now: float) -> list[Effect]:
     state.traffic.own.count(now)
     if state.is_loaded():
-        return _start_request(state, event.request, now, now)
+        return start_request(state, event.request, now, now)
     if not state.store_lost_at_start and state.pending_requests.add(event.request, now):
         return []
-    return [_decline_not_loaded(event.request)]
-
-
-def _start_request(
-    state: EdgeState, request: CallerRequest, arrived_at: float, now: float
-) -> list[Effect]:
-    if not state.crashes.is_held(request.fingerprint, now):
-        return _begin_query(state, request, arrived_at, now)
-    wait_s = state.crashes.trial_wait_s(request.fingerprint, now)
-    if wait_s > 0.0:
-        return [_decline_held(request, wait_s)]
-    return [state.crashes.apply_for_trial(request, arrived_at, now)]
-
-
-def _begin_query(
-    state: EdgeState,
-    request: CallerRequest,
-    arrived_at: float,
-    now: float,
-    trial_of: frozenset[str] | None = None,
-) -> list[Effect]:
-    table = state.current_table.table
-    assert table is not None
-    path = request.target.split(b"?", 1)[0].decode("latin-1")
-    route = table.find(request.host, path)
-    if route is None:
-        return [_decline(request, ResultCode.UNKNOWN_ROUTE, "no such route", 0.0)]
-    services = route.shards or (state.round_robin.choose(route),)
-    waited_s = now - arrived_at
-    version = table.version
-    return [*fanout.begin(state.fanout, request, route, services, version, waited_s, now, trial_of)]
-
-
-def _trial_written(state: EdgeState, event: ev.TrialWritten, now: float) -> list[Effect]:
-    """Run a held request that the store permits to be tried."""
-    trials = state.crashes.trials
-    waiting = trials.written(event.write, event.revision, now)
-    if waiting is None:
-        return []
-    request, arrived_at = waiting
-    if event.revision is None:
-        return [_decline_held(request, RETRY_AFTER_S)]
-    trial_of = trials.services(request.fingerprint)
-    effects = _begin_query(state, request, arrived_at, now, trial_of)
-    trials.begin(request.fingerprint, state.fanout.queries.get(request.req_id))
-    return effects
-
-
-def _trial_seen(state: EdgeState, event: ev.TrialSeen, now: float) -> list[Effect]:
-    state.crashes.trials.seen(event.record, now)
-    return []
-
-
-def _trial_removed(state: EdgeState, event: ev.TrialRemoved, now: float) -> list[Effect]:
-    state.crashes.record_removed(event.fingerprint, event.revision)
-    return []
-
-
-def _trials_listed(state: EdgeState, event: ev.TrialsListed, now: float) -> list[Effect]:
-    state.crashes.records_listed(event.records, now)
-    return []
-
-
-def _advance_trials(state: EdgeState, now: float) -> list[Effect]:
-    trials = state.crashes.trials
-    effects: list[Effect] = [
-        _decline_held(request, RETRY_AFTER_S) for request in trials.take_overdue(now)
-    ]
-    ended = state.crashes.advance_trials(state.fanout.queries, now)
-    effects += [
-        LogEvent(log.SuspectTried(trial.fingerprint, trial.outcome.value, trial.trials))
-        for trial in ended
-    ]
-    return [*effects, *trials.take_due_writes(now)]
-
-
-def _decline_held(request: CallerRequest, retry_after_s: float) -> Declined:
-    message = "leaves went down under this request"
-    return _decline(request, ResultCode.HELD, message, retry_after_s)
+    return [decline_not_loaded(event.request)]
 
 
 def _start_pending(state: EdgeState, now: float) -> list[Effect]:
@@ -148,28 +70,10 @@
         return []
     effects = _keep_connections(state, now)
     for pending in state.pending_requests.take_all():
-        effects += _start_request(state, pending.request, pending.arrived_at, now)
+        effects += start_request(state, pending.request, pending.arrived_at, now)
     return effects
 
 
-def _decline(
-    request: CallerRequest, code: ResultCode, message: str, retry_after_s: float
-) -> Declined:
-    return Declined(
-        req_id=request.req_id,
-        request_id=request.request_id,
-        code=code,
-        message=message,
-        ran=False,
-        retry_after_s=retry_after_s,
-        fingerprint=request.fingerprint,
-    )
-
-
-def _decline_not_loaded(request: CallerRequest) -> Declined:
-    return _decline(request, ResultCode.NOT_CONFIGURED, NOT_LOADED, NOT_READY_RETRY_S)
-
-
 def _caller_gone(state: EdgeState, event: ev.CallerGone, now: float) -> list[Effect]:
     query = state.fanout.queries.get(event.req_id)
     if query is None:
@@ -317,7 +221,7 @@
         return []
     state.store_lost_at_start = True
     pending = state.pending_requests.take_all()
-    return [_decline_not_loaded(one.request) for one in pending]
+    return [decline_not_loaded(one.request) for one in pending]
 
 
 def _store_back(state: EdgeState, event: ev.StoreBack, now: float) -> list[Effect]:
@@ -348,7 +252,7 @@
         return effects
     state.housekeeping_at = now + HOUSEKEEPING_S
     effects += [
-        _decline_not_loaded(pending.request) for pending in state.pending_requests.take_overdue(now)
+        decline_not_loaded(pending.request) for pending in state.pending_requests.take_overdue(now)
     ]
     state.budget.nodes = state.member_count(now)
     effects += _sweep(state, now)
@@ -358,89 +262,12 @@
     effects += [LogEvent(paused) for paused in state.fleet.take_newly_paused()]
     crashes = state.crashes.collect_crashes(state.fanout.running_on, now)
     effects += [LogEvent(found) for found in crashes]
-    effects += _advance_trials(state, now)
-    effects += _send_hints(state)
-    effects += _send_limits(state, now)
-    effects += _send_leaving(state)
-    effects += _send_crashes(state, now)
+    effects += advance_trials(state, now)
+    effects += send_messages(state, now)
     effects += advance_rollouts(state, now)
     return effects + _advance_stop(state, now)
 
 
-def _send_hints(state: EdgeState) -> list[Effect]:
-    hints = state.fleet.hints.take()
-    near = _members_nearby(state) if hints else ()
-    return [SendHints(near, hints)] if near else []
-
-
-def _send_limits(state: EdgeState, now: float) -> list[Effect]:
-    """Tell nearby nodes the limits that leaves have named, and all nodes this one's traffic."""
-    state.fleet.expire_limits(now)
-    effects: list[Effect] = []
-    notes = state.fleet.take_limit_notes()
-    near = _members_nearby(state) if notes else ()
-    if near:
-        effects.append(SendLimits(near, notes))
-    report = state.traffic.due_report(bool(state.fleet.limited), now)
-    others = _other_members(state) if report is not None else ()
-    if report is not None and others:
-        effects.append(SendTraffic(others, report))
-    return effects
-
-
-def _send_leaving(state: EdgeState) -> list[Effect]:
-    """Log the leaves that say that they are leaving, and tell nearby nodes."""
-    effects: list[Effect] = [
-        LogEvent(log.LeafDraining(name)) for name in state.fleet.take_newly_leaving()
-    ]
-    notes = state.fleet.take_leaving_notes()
-    near = _members_nearby(state) if notes else ()
-    return [*effects, SendLeaving(near, notes)] if near else effects
-
-
-def _other_members(state: EdgeState) -> tuple[Member, ...]:
-    return tuple(member for member in state.members.values() if member.node != state.me.node)
-
-
-def _members_nearby(state: EdgeState) -> tuple[Member, ...]:
-    region_of = state.me.region_of
-    region = region_of.get(state.me.domain)
-    return tuple(m for m in _other_members(state) if region_of.get(m.domain) == region)
-
-
-def _send_crashes(state: EdgeState, now: float) -> list[Effect]:
-    snapshot = state.crashes.next_broadcast(now)
-    others = _other_members(state) if snapshot is not None else ()
-    return [SendCrashes(others, snapshot)] if snapshot is not None and others else []
-
-
-def _crashes_heard(state: EdgeState, event: ev.CrashesHeard, now: float) -> list[Effect]:
-    learned = state.crashes.merge(event.snapshot, now)
-    return [LogEvent(learned)] if learned is not None else []
-
-
-def _limits_heard(state: EdgeState, event: ev.LimitsHeard, now: float) -> list[Effect]:
-    for note in event.notes:
-        state.fleet.limit_heard(note, now)
-    return []
-
-
-def _leaving_heard(state: EdgeState, event: ev.LeavingHeard, now: float) -> list[Effect]:
-    for note in event.notes:
-        state.fleet.leaving_heard(note)
-    return []
-
-
-def _traffic_heard(state: EdgeState, event: ev.TrafficHeard, now: float) -> list[Effect]:
-    state.traffic.heard(event.report, now)
-    return []
-
-
-def _hints_heard(state: EdgeState, event: ev.HintsHeard, now: float) -> list[Effect]:
-    apply_hints(state.fleet, event.hints, state.fanout.rng, state.region_nodes, now)
-    return []
-
-
 def _sweep(state: EdgeState, now: float) -> list[Effect]:
     dropped = state.fleet.sweep(now)
     if not dropped:
@@ -502,15 +329,15 @@
     ev.RolloutStatusSeen: rollout_status_seen,
     ev.RolloutEvidenceHeard: evidence_heard,
     ev.RolloutNewsHeard: news_heard,
-    ev.HintsHeard: _hints_heard,
-    ev.CrashesHeard: _crashes_heard,
-    ev.LimitsHeard: _limits_heard,
-    ev.TrafficHeard: _traffic_heard,
-    ev.LeavingHeard: _leaving_heard,
-    ev.TrialSeen: _trial_seen,
-    ev.TrialRemoved: _trial_removed,
-    ev.TrialsListed: _trials_listed,
-    ev.TrialWritten: _trial_written,
+    ev.HintsHeard: hints_heard,
+    ev.CrashesHeard: crashes_heard,
+    ev.LimitsHeard: limits_heard,
+    ev.TrafficHeard: traffic_heard,
+    ev.LeavingHeard: leaving_heard,
+    ev.TrialSeen: trial_seen,
+    ev.TrialRemoved: trial_removed,
+    ev.TrialsListed: trials_listed,
+    ev.TrialWritten: trial_written,
     ev.RecordRejected: _record_rejected,
     ev.StoreLost: _store_lost,
     ev.StoreBack: _store_back,
--- /dev/null
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/starting.py
@@ -0,0 +1,75 @@
+"""Starts callers' requests on their routes, or declines them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from cactussaddle_core.codes import ResultCode
+from cactussaddle_core.fanout import reduce as fanout
+from cactussaddle_core.fanout.effects import Declined
+
+if TYPE_CHECKING:
+    from cactussaddle_core.edge.effects import Effect
+    from cactussaddle_core.edge.state import EdgeState
+    from cactussaddle_core.fanout.model import CallerRequest
+
+# Retry delay for callers of a node that is not ready; the retry is likely to reach another node.
+NOT_READY_RETRY_S = 0.2
+NOT_LOADED = "routing table and leaf registry are not loaded yet"
+
+
+def start_request(
+    state: EdgeState, request: CallerRequest, arrived_at: float, now: float
+) -> list[Effect]:
+    """Start a request, ask for a trial if it is held, or decline it."""
+    if not state.crashes.is_held(request.fingerprint, now):
+        return begin_query(state, request, arrived_at, now)
+    wait_s = state.crashes.trial_wait_s(request.fingerprint, now)
+    if wait_s > 0.0:
+        return [decline_held(request, wait_s)]
+    return [state.crashes.apply_for_trial(request, arrived_at, now)]
+
+
+def begin_query(
+    state: EdgeState,
+    request: CallerRequest,
+    arrived_at: float,
+    now: float,
+    trial_of: frozenset[str] | None = None,
+) -> list[Effect]:
+    """Start a query on the route of a request; `trial_of` is set if it is a trial."""
+    table = state.current_table.table
+    assert table is not None
+    path = request.target.split(b"?", 1)[0].decode("latin-1")
+    route = table.find(request.host, path)
+    if route is None:
+        return [_decline(request, ResultCode.UNKNOWN_ROUTE, "no such route", 0.0)]
+    services = route.shards or (state.round_robin.choose(route),)
+    waited_s = now - arrived_at
+    version = table.version
+    return [*fanout.begin(state.fanout, request, route, services, version, waited_s, now, trial_of)]
+
+
+def _decline(
+    request: CallerRequest, code: ResultCode, message: str, retry_after_s: float
+) -> Declined:
+    return Declined(
+        req_id=request.req_id,
+        request_id=request.request_id,
+        code=code,
+        message=message,
+        ran=False,
+        retry_after_s=retry_after_s,
+        fingerprint=request.fingerprint,
+    )
+
+
+def decline_not_loaded(request: CallerRequest) -> Declined:
+    """Decline a request that came before the node knows routes and leaves."""
+    return _decline(request, ResultCode.NOT_CONFIGURED, NOT_LOADED, NOT_READY_RETRY_S)
+
+
+def decline_held(request: CallerRequest, retry_after_s: float) -> Declined:
+    """Decline a request that may run only as a trial."""
+    message = "leaves went down under this request"
+    return _decline(request, ResultCode.HELD, message, retry_after_s)
