--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/crashes.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/crashes.py
@@ -36,7 +36,7 @@
 BROADCAST_REPEATS = 3
 BROADCAST_INTERVAL_S = 0.3
 # Reports in one message. Many requests are under way at a leaf that goes down, and all nodes tell all others.
-MAX_BROADCAST_STRIKES = 64
+MAX_BROADCAST_STRIKES = 16
 # How long a request is watched after a crash for becoming a suspect by crashes elsewhere.
 WATCH_S = 5.0
 
