--- a/tests/core/edge/crashworld.py
+++ b/tests/core/edge/crashworld.py
@@ -2,14 +2,11 @@
 
 from __future__ import annotations
 
-import random
-
 from collections import defaultdict
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import NamedTuple
 
-from cactussaddle_core.edge import effects as fx
 from cactussaddle_core.edge import events as ev
 from cactussaddle_core.fanout import model as fan
 from cactussaddle_core.fleet.probing import ProbeOutcome
@@ -17,18 +14,16 @@
 from cactussaddle_core.hold.trials import RemoveTrial
 from cactussaddle_core.hold.trials import TrialRecord
 from cactussaddle_core.hold.trials import WriteTrial
-from cactussaddle_core.spread.model import Member
+from tests.core.edge.fleetworld import FleetNode
+from tests.core.edge.fleetworld import FleetWorld
 from tests.core.edge.leafbehavior import CallOutcome
 from tests.core.edge.world import DOMAINS
-from tests.core.edge.world import World
 from tests.core.edge.world import entry
 from tests.core.edge.world import leaf_name
 
 if TYPE_CHECKING:
     from cactussaddle_core.fleet.model import LeafEntry
 
-STEP_S = 0.005
-DATAGRAM_S = 0.02
 REGISTRY_LAG_S = 0.8
 STORE_S = 0.01
 WATCH_LAG_S = 0.5
@@ -48,38 +43,27 @@
     fingerprint: str
 
 
-class Node(World):
+class Node(FleetNode):
     """One node of a `CrashWorld`; its calls run on the leaves that all nodes share."""
 
-    def __init__(self, *, world: CrashWorld, number: int, nodes: int, loaded: bool = True) -> None:
-        self.world = world
-        super().__init__(seed=number + 1, nodes=nodes, number=number, loaded=loaded)
-
-    @property
-    def name(self) -> str:
-        return self.state.me.node
-
-    def members(self, count: int) -> tuple[Member, ...]:
-        return tuple(
-            Member(f"node-{n}", "127.0.0.1", 1, DOMAINS[n % len(DOMAINS)]) for n in range(count)
-        )
+    fleet: CrashWorld
 
     def leaves(self) -> tuple[LeafEntry, ...]:
         more = [
             entry("orders", domain, leaf=leaf_name(f"orders.{copy}", domain))
-            for copy in range(self.world.order_copies)
+            for copy in range(self.fleet.order_copies)
             for domain in DOMAINS
         ]
         return (*super().leaves(), *more)
 
     def _send(self, call: Any) -> None:
         leaf = call.leaf.name
-        if not self.world.is_down(leaf):
+        if not self.fleet.is_down(leaf):
             super()._send(call)
-            self.world.begin(self, call)
+            self.fleet.begin(self, call)
             return
         self._calls[call.call_id] = call
-        if self.world.silent:
+        if self.fleet.silent:
             self.later(0.0, ev.CallLeft(call.call_id))
         else:
             self.answer_call(
@@ -87,19 +71,15 @@
             )
 
     def _probe(self, leaf: Any) -> None:
-        if not self.world.is_down(leaf.name):
+        if not self.fleet.is_down(leaf.name):
             super()._probe(leaf)
-        elif self.world.silent:
+        elif self.fleet.silent:
             self.later(0.8, ev.ProbeEnded(leaf.name, SILENT))
         else:
             self.later(self._trip_s(leaf), ev.ProbeEnded(leaf.name, REFUSED))
 
-    def _carry_out(self, effect: Any) -> None:
-        super()._carry_out(effect)
-        self.world.carry_out(self, effect)
 
-
-class CrashWorld:
+class CrashWorld(FleetWorld[Node]):
     """`nodes` nodes over the same leaves.
 
     A leaf that begins to run a request with the fingerprint `POISON` ends, with all its calls; it is
@@ -111,10 +91,9 @@
     def __init__(
         self, *, nodes: int = 6, silent: bool = False, loss: float = 0.0, order_copies: int = 3
     ) -> None:
+        super().__init__(loss=loss)
         self.silent = silent
-        self.loss = loss
         self.order_copies = order_copies
-        self.rng = random.Random(1)
         self.down_until: dict[str, float] = {}
         self.born: dict[str, int] = defaultdict(lambda: 1)
         self.runs: list[Run] = []
@@ -122,22 +101,16 @@
         self.records: dict[str, TrialRecord] = {}
         self.revision = 0
         self._open: dict[str, list[tuple[Node, Any]]] = defaultdict(list)
-        self.nodes: list[Node] = []
         self._count = nodes
-        for number in range(nodes):
-            self.nodes.append(Node(world=self, number=number, nodes=nodes, loaded=False))
+        self._start_nodes()
         for node in self.nodes:
             node.load_all()
         self.run(2.0)
 
-    @property
-    def now(self) -> float:
-        return self.nodes[0].now
-
-    def run(self, seconds: float) -> None:
-        for _ in range(round(seconds / STEP_S)):
-            for node in self.nodes:
-                node.run(STEP_S)
+    def _start_nodes(self) -> None:
+        self.nodes = [
+            Node(fleet=self, number=number, nodes=self._count) for number in range(self._count)
+        ]
 
     def ask(self, number: int, target: bytes, fingerprint: str) -> tuple[str, int]:
         node = self.nodes[number % len(self.nodes)]
@@ -183,10 +156,7 @@
     def restart_nodes(self) -> None:
         """Replace all nodes by new processes that know nothing of before."""
         now = self.now
-        self.nodes = [
-            Node(world=self, number=number, nodes=self._count, loaded=False)
-            for number in range(self._count)
-        ]
+        self._start_nodes()
         for node in self.nodes:
             node.now = now
             node.load_all()
@@ -194,11 +164,8 @@
         self._open.clear()
 
     def carry_out(self, node: Node, effect: Any) -> None:
-        if isinstance(effect, fx.SendCrashes):
-            self._datagram(effect.members, ev.CrashesHeard(effect.snapshot))
-        elif isinstance(effect, fx.SendHints):
-            self._datagram(effect.members, ev.HintsHeard(effect.hints))
-        elif isinstance(effect, WriteTrial):
+        super().carry_out(node, effect)
+        if isinstance(effect, WriteTrial):
             self._write(node, effect)
         elif isinstance(effect, RemoveTrial):
             self._remove(effect)
@@ -228,12 +195,6 @@
         for node in self.nodes:
             node.later(WATCH_LAG_S, event)
 
-    def _datagram(self, members: Any, event: ev.Event) -> None:
-        names = {member.node for member in members}
-        for node in self.nodes:
-            if node.name in names and self.rng.random() >= self.loss:
-                node.later(DATAGRAM_S, event)
-
     def late_retries(self, window_s: float) -> int:
         """Return how many attempts of the poison reached leaves later than `window_s` after the third crash."""
         if len(self.crashes) < 3:
--- a/tests/core/edge/limitworld.py
+++ b/tests/core/edge/limitworld.py
@@ -3,50 +3,37 @@
 from __future__ import annotations
 
 import functools
-import random
 
 from collections import defaultdict
 from typing import TYPE_CHECKING
 from typing import Any
 
 from cactussaddle_common.http.message import Response
-from cactussaddle_core.edge import effects as fx
-from cactussaddle_core.edge import events as ev
 from cactussaddle_core.fanout import model as fan
-from cactussaddle_core.spread.model import Member
 from cactussaddle_platform.leaves import decode_call_end
-from tests.core.edge.world import DOMAINS
-from tests.core.edge.world import World
+from tests.core.edge.fleetworld import FleetNode
+from tests.core.edge.fleetworld import FleetWorld
 
 if TYPE_CHECKING:
     from tests.core.edge.leafbehavior import CallOutcome
 
-STEP_S = 0.005
-DATAGRAM_S = 0.02
 # What the deployments grant: in any such window, so many times what the leaf named, and so many more.
 WINDOW_S = 4.0
 OVER = 1.5
 SLACK = 5.0
 
 
-class Node(World):
+class Node(FleetNode):
     """One node of a `LimitWorld`."""
 
-    def __init__(self, *, world: LimitWorld, number: int, nodes: int) -> None:
-        self.world = world
-        super().__init__(seed=number + 1, nodes=nodes, number=number, loaded=False)
-
-    def members(self, count: int) -> tuple[Member, ...]:
-        return tuple(
-            Member(f"node-{n}", "127.0.0.1", 1, DOMAINS[n % len(DOMAINS)]) for n in range(count)
-        )
+    fleet: LimitWorld
 
     def _send(self, call: Any) -> None:
         super()._send(call)
-        self.world.arrivals[call.leaf.name].append(self.now)
+        self.fleet.arrivals[call.leaf.name].append(self.now)
 
     def answer_call(self, call: Any, does: CallOutcome, trip_s: float) -> None:
-        limit = self.world.limits.get(call.leaf.name)
+        limit = self.fleet.limits.get(call.leaf.name)
         if does.ending is not fan.CallEnding.ANSWERED or limit is None:
             super().answer_call(call, does, trip_s)
             return
@@ -58,32 +45,19 @@
         end = decode_call_end(call.call_id, response)
         self.later(trip_s + does.work_s, functools.partial(self._end_call, call, end))
 
-    def _carry_out(self, effect: Any) -> None:
-        super()._carry_out(effect)
-        self.world.carry_out(self, effect)
 
-
-class LimitWorld:
+class LimitWorld(FleetWorld[Node]):
     """`limits` holds what leaves name now; `arrivals` the times of the calls at each leaf."""
 
     def __init__(self, *, nodes: int = 8) -> None:
-        self.rng = random.Random(1)
+        super().__init__()
         self.limits: dict[str, float] = {}
         self.arrivals: dict[str, list[float]] = defaultdict(list)
-        self.nodes = [Node(world=self, number=number, nodes=nodes) for number in range(nodes)]
+        self.nodes = [Node(fleet=self, number=number, nodes=nodes) for number in range(nodes)]
         for node in self.nodes:
             node.load_all()
         self.run(2.0)
 
-    @property
-    def now(self) -> float:
-        return self.nodes[0].now
-
-    def run(self, seconds: float) -> None:
-        for _ in range(max(1, round(seconds / STEP_S))):
-            for node in self.nodes:
-                node.run(STEP_S)
-
     def load(
         self, per_s: float, seconds: float, target: bytes = b"/s/x", weights: Any = None
     ) -> list[Any]:
@@ -108,20 +82,6 @@
             (sum(1 for at in times if start <= at < start + WINDOW_S) for start in times), default=0
         )
 
-    def carry_out(self, node: Node, effect: Any) -> None:
-        if isinstance(effect, fx.SendHints):
-            self._datagram(effect.members, ev.HintsHeard(effect.hints))
-        elif isinstance(effect, fx.SendLimits):
-            self._datagram(effect.members, ev.LimitsHeard(effect.notes))
-        elif isinstance(effect, fx.SendTraffic):
-            self._datagram(effect.members, ev.TrafficHeard(effect.report))
-
-    def _datagram(self, members: Any, event: ev.Event) -> None:
-        names = {member.node for member in members}
-        for node in self.nodes:
-            if node.state.me.node in names:
-                node.later(DATAGRAM_S, event)
-
 
 def allowed(limit: float) -> float:
     return OVER * WINDOW_S * limit + SLACK
