Bodies of closed connections are dropped at once

Cause: a response's reader and its parser refer to each other, so a closed connection's body stayed in memory until a collection of cycles, while its bytes had been given back to the allowance for all unfinished bodies. A finished body also stayed beside its copy until the next response.

Change: a reader drops its body when the connection closes, and when the response is complete; the reader of callers' requests too.

--- a/packages/cactussaddle-common/src/cactussaddle_common/http/channel.py
+++ b/packages/cactussaddle-common/src/cactussaddle_common/http/channel.py
@@ -304,7 +304,7 @@
         self._ended = True
         self.open = False
         self._send_buffer.discard()
-        self._reader.release()
+        self._reader.close()
         trio.lowlevel.notify_closing(self._sock)
         self._sock.close()
         self._scope.cancel()
--- a/packages/cactussaddle-common/src/cactussaddle_common/http/requestreader.py
+++ b/packages/cactussaddle-common/src/cactussaddle_common/http/requestreader.py
@@ -86,6 +86,10 @@
                 Fault.MALFORMED, "chunk framing, trailers or empty lines too large"
             )
 
+    def close(self) -> None:
+        """Drop an unfinished request, as the connection is closed; the parser keeps the reader alive."""
+        self._reset()
+
     def on_message_begin(self) -> None:
         """Start a request (called by the parser)."""
         self._reset()
--- a/packages/cactussaddle-common/src/cactussaddle_common/http/response.py
+++ b/packages/cactussaddle-common/src/cactussaddle_common/http/response.py
@@ -72,7 +72,17 @@
         self.keep_alive = False
         return True
 
-    def release(self) -> None:
+    def close(self) -> None:
+        """Drop an unfinished response, as the connection is closed.
+
+        The reader and its parser refer to each other, so they stay in memory until the next collection
+        of cycles; the body must not.
+        """
+        self._release()
+        self._body = bytearray()
+        self._headers = []
+
+    def _release(self) -> None:
         """Release the bytes of the allowance that an unfinished body holds."""
         self._allowance.release(self._held)
         self._held = 0
@@ -117,7 +127,8 @@
     def _finish(self) -> None:
         self._in_body = False
         self.started = False
-        self.release()
+        self._release()
+        body, self._body = bytes(self._body), bytearray()
         status = self._parser.get_status_code()
         if status < MIN_FINAL_STATUS:
             self._interim_count += 1
@@ -128,7 +139,7 @@
         self._size.reset()
         self.keep_alive = self._parser.should_keep_alive()
         self.peer_idle_s = _keep_alive_timeout_s(self._headers)
-        self.responses.append(Response(status, tuple(self._headers), bytes(self._body)))
+        self.responses.append(Response(status, tuple(self._headers), body))
 
 
 def _keep_alive_timeout_s(headers: list[tuple[bytes, bytes]]) -> float | None:
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/caller.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/caller.py
@@ -135,6 +135,7 @@
             return
         self._ended = True
         self._send_buffer.discard()
+        self._reader.close()
         trio.lowlevel.notify_closing(self._sock)
         self._sock.close()
         self._scope.cancel()
--- a/tests/common/http/test_endless.py
+++ b/tests/common/http/test_endless.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import itertools
 import time
 import tracemalloc
@@ -131,12 +132,36 @@
                 try:
                     reader.feed(b"a" * (PIECE // 2))
                 except BadResponseError:
-                    reader.release()
+                    reader.close()
                     readers.remove(reader)
                     rejected += 1
         self.assertGreater(rejected, 0)
         self.assertLess(allowance.held, 64 * PIECE + MAX_KEPT_BYTES)
 
+    def test_bodies_of_closed_connections_pile_up(self):
+        gc.collect()
+        gc.disable()
+        self.addCleanup(gc.enable)
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        for _ in range(50):
+            reader = ResponseReader()
+            reader.feed(b"HTTP/1.1 200 OK\r\nContent-Length: 10000000\r\n\r\n")
+            reader.feed(b"a" * PIECE)
+            reader.close()
+        held, _ = tracemalloc.get_traced_memory()
+        self.assertLess(held, 5 * PIECE)
+
+    def test_a_finished_body_is_kept_beside_its_response(self):
+        reader = ResponseReader()
+        gc.collect()
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        reader.feed(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % PIECE + b"a" * PIECE)
+        reader.responses.clear()
+        held, _ = tracemalloc.get_traced_memory()
+        self.assertLess(held, PIECE // 2)
+
     def test_typical_body_is_accepted_beside_large_ones(self):
         allowance = BodyAllowance(max_bytes=MAX_KEPT_BYTES, guaranteed_bytes=PIECE)
         large = ResponseReader(allowance=allowance)
@@ -147,7 +172,7 @@
         self.assertEqual(len(typical.responses), 1)
         with self.assertRaises(BadResponseError):
             large.feed(b"a")
-        large.release()
+        large.close()
         self.assertEqual(allowance.held, 0)
 
 
