Crashing requests: bounds on records and work, lapsed entries are no crash

Read through as a reviewer would: a permit beyond 4,096 known records raised an error and left its request without an answer; records of requests that nobody repeats stayed for an hour; expiry and ranking ran over all records ten times a second; entries that lapse with the store, and calls under way at a leaf that leaves unannounced, counted as crashes for a moment; the share of a limit was computed for each leaf (2,700 x 600 at the size aimed for).

Change: the permit itself starts the trial; untried records end after 2 to 4 minutes, and no more than 1,024 are written; expiry each 10 s, ranking each 0.3 s over 64; a leaf's end counts when it is dropped, and open calls only when overdue; one share for all leaves that are placed alike.

--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/crashes.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/crashes.py
@@ -16,6 +16,7 @@
 from cactussaddle_core.hold.table import HoldSnapshot
 from cactussaddle_core.hold.table import HoldTable
 from cactussaddle_core.hold.table import Verdict
+from cactussaddle_core.hold.trials import MAX_NEW_RECORDS
 from cactussaddle_core.hold.trials import TrialOutcome
 from cactussaddle_core.hold.trials import TrialRecord
 from cactussaddle_core.hold.trials import Trials
@@ -39,6 +40,9 @@
 MAX_BROADCAST_STRIKES = 16
 # How long a request is watched after a crash for becoming a suspect by crashes elsewhere.
 WATCH_S = 5.0
+# New suspects are written to the store in small groups; the least suspect beyond these are left out.
+STORE_INTERVAL_S = 0.3
+MAX_UNSTORED = 64
 
 
 class CrashTracker:
@@ -51,6 +55,7 @@
         self._services: OrderedDict[str, str] = OrderedDict()
         self._watched: dict[str, str] = {}
         self._unstored: set[str] = set()
+        self._store_at = 0.0
         self._broadcasts_left = 0
         self._broadcast_counts: Counter[Strike | Clearance] = Counter()
         self._next_broadcast_at = 0.0
@@ -76,12 +81,12 @@
             self._broadcasts_left = BROADCAST_REPEATS
 
     def collect_crashes(
-        self, running_on: Callable[[Leaf], list[str]], now: float
+        self, overdue_at: Callable[[Leaf, float], list[str]], now: float
     ) -> list[LeafCrashed | RequestHeld]:
         """Record the leaves that went down; return their crashes and the requests now held.
 
         A leaf that only this node can't reach may still run, so silence counts only once the registry
-        shows that the leaf has ended. `running_on` returns the requests with an open call at a leaf.
+        shows that the leaf has ended. `overdue_at` returns the requests with an overdue call at a leaf.
         """
         events: list[LeafCrashed | RequestHeld] = []
         for leaf, ended in self._fleet.take_newly_down():
@@ -89,7 +94,7 @@
             broken = leaf.recently_broken(
                 now, LOST_CALL_RETENTION_S if ended else BROKEN_CALL_RETENTION_S
             )
-            unanswered = [*leaf.recently_unanswered(now), *running_on(leaf)] if ended else []
+            unanswered = [*leaf.recently_unanswered(now), *overdue_at(leaf, now)] if ended else []
             leaf.broken = []
             if ended:
                 leaf.unanswered = []
@@ -126,7 +131,9 @@
         for trial in ended:
             if trial.outcome is TrialOutcome.HARMLESS:
                 self._book.acquit(trial.fingerprint)
-        self._store_suspects(now)
+        if now >= self._store_at:
+            self._store_at = now + STORE_INTERVAL_S
+            self._store_suspects(now)
         self.trials.expire(now)
         return ended
 
@@ -140,7 +147,11 @@
         if not self._unstored:
             return
         ranked = sorted(self._unstored, key=lambda name: (-self._book.crash_count(name), name))
-        records = [TrialRecord(name, 0, self._book.implicated(name), 0) for name in ranked]
+        self._unstored = set(ranked[:MAX_UNSTORED])
+        records = [
+            TrialRecord(name, 0, self._book.implicated(name), 0)
+            for name in ranked[:MAX_NEW_RECORDS]
+        ]
         self.trials.store_suspects(records, now)
 
     def record_removed(self, fingerprint: str, revision: int) -> None:
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/reduce.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/reduce.py
@@ -260,7 +260,7 @@
     effects += [LogEvent(change) for change in state.fleet.take_availability_changes(now)]
     effects += [LogEvent(change) for change in state.fleet.take_limit_changes()]
     effects += [LogEvent(paused) for paused in state.fleet.take_newly_paused()]
-    crashes = state.crashes.collect_crashes(state.fanout.running_on, now)
+    crashes = state.crashes.collect_crashes(state.fanout.overdue_at, now)
     effects += [LogEvent(found) for found in crashes]
     effects += advance_trials(state, now)
     effects += send_messages(state, now)
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/state.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/state.py
@@ -16,6 +16,7 @@
 from cactussaddle_core.hashing import unit_interval
 from cactussaddle_core.limits.budget import RetryBudget
 from cactussaddle_core.limits.cold import calls_per_second
+from cactussaddle_core.limits.leaflimit import SHARE_VALID_S
 from cactussaddle_core.limits.leaflimit import Audience
 from cactussaddle_core.limits.leaflimit import Quota
 from cactussaddle_core.limits.leaflimit import Traffic
@@ -75,6 +76,8 @@
         self.members: dict[str, Member] = {}
         self.recent_members = RecentMembers()
         self.traffic = Traffic(node=me.node)
+        self._shares: dict[tuple[str, frozenset[str]], float] = {}
+        self._shares_valid_until = 0.0
         self.region_nodes = 1
         self.crashes = CrashTracker(node=me.node, fleet=self.fleet, incarnation=str(seed))
         self.pending_requests = PendingRequests()
@@ -117,15 +120,31 @@
         return leaf.quota
 
     def _limit_share(self, leaf: Leaf, now: float) -> float:
+        """Return this node's share of a leaf's limit; the same for all leaves that are placed alike."""
         region_of = self.me.region_of
         others = self.fleet.leaves_of(leaf.entry.service)
+        leaf_region = region_of.get(leaf.entry.domain, "")
+        service_regions = frozenset(region_of.get(other.entry.domain, "") for other in others)
+        if now >= self._shares_valid_until:
+            self._shares_valid_until = now + SHARE_VALID_S
+            self._shares.clear()
+        known = self._shares.get((leaf_region, service_regions))
+        if known is None:
+            known = self._compute_share(leaf_region, service_regions, now)
+            self._shares[leaf_region, service_regions] = known
+        return known
+
+    def _compute_share(
+        self, leaf_region: str, service_regions: frozenset[str], now: float
+    ) -> float:
+        region_of = self.me.region_of
         audience = Audience(
             region_of_node={
                 name: region_of.get(member.domain, "") for name, member in self.members.items()
             },
             node_count=self.member_count(now),
-            leaf_region=region_of.get(leaf.entry.domain, ""),
-            service_regions={region_of.get(other.entry.domain, "") for other in others},
+            leaf_region=leaf_region,
+            service_regions=service_regions,
         )
         return share(self.me.node, self.traffic.rates(now), audience)
 
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/trying.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/trying.py
@@ -25,9 +25,9 @@
     request, arrived_at = waiting
     if event.revision is None:
         return [decline_held(request, RETRY_AFTER_S)]
-    trial_of = trials.services(request.fingerprint)
-    effects = begin_query(state, request, arrived_at, now, trial_of)
-    trials.begin(request.fingerprint, state.fanout.queries.get(request.req_id))
+    permitted = event.write.record._replace(revision=event.revision)
+    effects = begin_query(state, request, arrived_at, now, frozenset(permitted.services))
+    trials.begin(permitted, state.fanout.queries.get(request.req_id))
     return effects
 
 
--- a/packages/cactussaddle-core/src/cactussaddle_core/fanout/state.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/state.py
@@ -253,9 +253,10 @@
         self._timers: list[tuple[float, int]] = []
         self._next_call_id = 0
 
-    def running_on(self, leaf: Leaf) -> list[str]:
-        """Return the fingerprints of the requests with an open call that was sent to a leaf."""
-        calls = [self.calls[call_id] for call_id in leaf.waiting if call_id in self.calls]
+    def overdue_at(self, leaf: Leaf, now: float) -> list[str]:
+        """Return the fingerprints of the requests with an open and overdue call at a leaf."""
+        overdue = [call_id for call_id, due in leaf.waiting.items() if due <= now]
+        calls = [self.calls[call_id] for call_id in overdue if call_id in self.calls]
         return [call.part.query.request.fingerprint for call in calls if call.left]
 
     def next_call_id(self) -> int:
--- a/packages/cactussaddle-core/src/cactussaddle_core/fleet/fleet.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fleet/fleet.py
@@ -120,13 +120,14 @@
         leaf.listed = False
         leaf.drop_at = now
         if not leaf.is_leaving:
-            self._newly_down.append(DownLeaf(leaf, ended=True))
             leaf.drop_at = max(now, self._outage_ended_at + REREGISTRATION_S)
 
     def sweep(self, now: float) -> list[Leaf]:
         """Drop the leaves whose time to register again has passed; return them."""
         dropped = [leaf for leaf in self.leaves.values() if now >= leaf.drop_at]
         for leaf in dropped:
+            if not leaf.is_leaving:
+                self._newly_down.append(DownLeaf(leaf, ended=True))
             del self.leaves[leaf.name]
             self.limited.pop(leaf.name, None)
             self.by_service[leaf.entry.service].remove(leaf)
@@ -164,7 +165,7 @@
 
     def has_ended(self, leaf: Leaf) -> bool:
         """Return whether the registry shows that this start of a leaf is over."""
-        return not leaf.listed or self.leaves.get(leaf.name) is not leaf
+        return self.leaves.get(leaf.name) is not leaf
 
     def notice_given(self, leaf: Leaf, notice: LeafNotice, now: float) -> None:
         """Apply what a leaf says of itself in an answer."""
--- a/packages/cactussaddle-core/src/cactussaddle_core/hold/trials.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/hold/trials.py
@@ -24,8 +24,11 @@
 
 # Wait before the next trial, by the number of trials that have not ended well.
 TRIAL_PAUSES_S = (0.5, 30.0, 600.0)
-# A record is removed if no trial has been permitted for this long; each node adds up to as much.
-RECORD_EXPIRY_S = 3600.0
+# A record is removed if it has not changed for this long; each node adds up to as much. Most suspects
+# that have not been tried by then are requests that nobody repeats.
+TRIED_EXPIRY_S = 3600.0
+UNTRIED_EXPIRY_S = 120.0
+EXPIRY_INTERVAL_S = 10.0
 # Longest wait for the store's permit; the caller is told to come back then.
 PERMIT_TIMEOUT_S = 0.6
 RETRY_AFTER_S = 0.3
@@ -33,6 +36,8 @@
 TRIAL_LENGTH_S = 2.0
 WRITE_RETRY_S = 2.0
 MAX_RECORDS = 4096
+# New suspects are no longer written while there are so many records.
+MAX_UNTRIED_RECORDS = 1024
 # New suspects that one node writes to the store at once; the ones with most crashes come first.
 MAX_NEW_RECORDS = 4
 MAX_UNUSED_PERMITS = 256
@@ -117,6 +122,7 @@
         self._applicants: dict[str, _Applicant] = {}
         self._running: dict[str, _Running] = {}
         self._due_writes: dict[str, _DueWrite] = {}
+        self._expire_at = 0.0
 
     def has_record(self, fingerprint: str) -> bool:
         """Return whether the store has a record of a request."""
@@ -174,14 +180,9 @@
         """Return the number of requests that wait for the store."""
         return len(self._applicants)
 
-    def services(self, fingerprint: str) -> frozenset[str]:
-        """Return the services named by a suspect's record."""
-        known = self._known.get(fingerprint)
-        return frozenset(known.record.services) if known is not None else frozenset()
-
-    def begin(self, fingerprint: str, query: Query | None) -> None:
+    def begin(self, permitted: TrialRecord, query: Query | None) -> None:
         """Record that the permitted trial runs; `query` is None if the request was refused."""
-        self._running[fingerprint] = _Running(query, self._known[fingerprint].record)
+        self._running[permitted.fingerprint] = _Running(query, permitted)
 
     def caller_gone(self, req_id: int) -> None:
         """Forget a request that waits for the store, as its caller has left."""
@@ -221,6 +222,8 @@
 
     def store_suspects(self, suspects: Iterable[TrialRecord], now: float) -> None:
         """Have the records of new suspects written, the first ones at most."""
+        if len(self._known) >= MAX_UNTRIED_RECORDS:
+            return
         new = [suspect for suspect in suspects if not self.has_record(suspect.fingerprint)]
         room = MAX_NEW_RECORDS - len(self._due_writes)
         for suspect in new[: max(0, room)]:
@@ -271,10 +274,14 @@
         return gone
 
     def expire(self, now: float) -> None:
-        """Have the records removed for which no trial has been asked for a long time."""
+        """Have the records removed that have not changed for a long time."""
+        if now < self._expire_at:
+            return
+        self._expire_at = now + EXPIRY_INTERVAL_S
         for fingerprint, (record, since) in self._known.items():
-            spread = 1.0 + unit_interval(fingerprint, self._node)
-            if now - since > RECORD_EXPIRY_S * spread and fingerprint not in self._due_writes:
+            expiry_s = TRIED_EXPIRY_S if record.trials else UNTRIED_EXPIRY_S
+            expiry_s *= 1.0 + unit_interval(fingerprint, self._node)
+            if now - since > expiry_s and fingerprint not in self._due_writes:
                 remove = RemoveTrial(fingerprint, record.revision)
                 self._due_writes[fingerprint] = _DueWrite(remove, record.revision, now)
 
--- a/tests/core/edge/test_crashes.py
+++ b/tests/core/edge/test_crashes.py
@@ -148,7 +148,7 @@
         self.tracker = CrashTracker(node="n0", fleet=self.fleet)
 
     def collect(self, now: float):
-        return self.tracker.collect_crashes(lambda leaf: [], now)
+        return self.tracker.collect_crashes(lambda leaf, now: [], now)
 
     def mark_down(self, service: str, domain: str, fingerprints: list[str], now: float):
         leaf = self.fleet.leaves[leaf_name(service, domain)]
@@ -190,9 +190,19 @@
         for domain in DOMAINS[:2]:
             self.fleet.leaves[leaf_name("s0", domain)].record_unanswered_call("poison", 20.0)
             self.fleet.remove_entry(leaf_name("s0", domain), 24.4)
+        self.fleet.sweep(24.5)
         self.collect(24.5)
         self.assertTrue(self.tracker.is_held("poison", 24.5))
 
+    def test_entries_that_lapse_with_the_store_are_no_crash(self):
+        self.fleet.outage_ended(24.0)
+        for domain in DOMAINS[:2]:
+            self.fleet.leaves[leaf_name("s0", domain)].record_unanswered_call("bystander", 23.0)
+            self.fleet.remove_entry(leaf_name("s0", domain), 24.4)
+        self.fleet.sweep(24.5)
+        self.collect(24.5)
+        self.assertFalse(self.tracker.is_held("bystander", 24.5))
+
     def test_a_call_that_ends_after_its_leaf_is_gone_counts(self):
         for domain in DOMAINS[:2]:
             leaf = self.fleet.leaves[leaf_name("s0", domain)]
--- a/tests/core/hold/test_trials.py
+++ b/tests/core/hold/test_trials.py
@@ -8,7 +8,9 @@
 from cactussaddle_core.fanout.model import CallerRequest
 from cactussaddle_core.hold.trials import MAX_NEW_RECORDS
 from cactussaddle_core.hold.trials import MAX_RECORDS
-from cactussaddle_core.hold.trials import RECORD_EXPIRY_S
+from cactussaddle_core.hold.trials import MAX_UNTRIED_RECORDS
+from cactussaddle_core.hold.trials import TRIED_EXPIRY_S
+from cactussaddle_core.hold.trials import UNTRIED_EXPIRY_S
 from cactussaddle_core.hold.trials import WRITE_RETRY_S
 from cactussaddle_core.hold.trials import RemoveTrial
 from cactussaddle_core.hold.trials import TrialOutcome
@@ -46,7 +48,7 @@
     def run_trial(self, query: Any, at: float = 10.0) -> TrialOutcome:
         write = self.trials.apply(request("f"), ["s1"], at, at)
         self.assertIsNotNone(self.trials.written(write, 5, at))
-        self.trials.begin("f", query)
+        self.trials.begin(write.record._replace(revision=5), query)
         (ended,) = self.trials.conclude([], at)
         return ended.outcome
 
@@ -117,11 +119,38 @@
         for number in range(MAX_RECORDS + 10):
             self.trials.seen(TrialRecord(f"f{number}", 1, (), number + 1), 10.0)
         self.assertFalse(self.trials.has_record(f"f{MAX_RECORDS + 5}"))
-        self.trials.expire(10.0 + 2.0 * RECORD_EXPIRY_S)
+        self.trials.expire(10.0 + 2.0 * TRIED_EXPIRY_S)
         self.assertIn(
-            RemoveTrial("f0", 1), self.trials.take_due_writes(10.0 + 2.0 * RECORD_EXPIRY_S)
+            RemoveTrial("f0", 1), self.trials.take_due_writes(10.0 + 2.0 * TRIED_EXPIRY_S)
         )
 
 
+class ExpiryTest(unittest.TestCase):
+    def test_records_of_requests_that_nobody_repeats_pile_up(self):
+        trials = Trials(node="n1", incarnation="7")
+        trials.seen(TrialRecord("untried", 0, (), 1), 10.0)
+        trials.seen(TrialRecord("tried", 1, (), 2), 10.0)
+        trials.expire(10.0 + 2.0 * UNTRIED_EXPIRY_S)
+        self.assertEqual(
+            trials.take_due_writes(10.0 + 2.0 * UNTRIED_EXPIRY_S), [RemoveTrial("untried", 1)]
+        )
+
+    def test_new_suspects_are_left_out_while_there_are_many_records(self):
+        trials = Trials(node="n1", incarnation="7")
+        for number in range(MAX_UNTRIED_RECORDS):
+            trials.seen(TrialRecord(f"f{number}", 0, (), number + 1), 10.0)
+        trials.store_suspects([TrialRecord("new", 0, (), 0)], 10.0)
+        self.assertEqual(trials.take_due_writes(10.0), [])
+
+    def test_a_permit_beyond_the_known_records_still_runs(self):
+        trials = Trials(node="n1", incarnation="7")
+        for number in range(MAX_RECORDS):
+            trials.seen(TrialRecord(f"f{number}", 0, (), number + 1), 10.0)
+        write = trials.apply(request("new"), [], 10.0, 10.0)
+        self.assertIsNotNone(trials.written(write, 9000, 10.0))
+        trials.begin(write.record._replace(revision=9000), None)
+        self.assertEqual(len(trials.conclude([], 10.1)), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
