--- a/tests/soak/leaf.py
+++ b/tests/soak/leaf.py
@@ -34,7 +34,8 @@
     """One leaf: slots, a queue, work times, and the ways in which it fails.
 
     `fault` is "" or one of slow, shed, errors, hang, mute (runs, answers nothing), garble, extra.
-    `on_killer` is called when it begins to run the request `KILLER`.
+    `on_killer` is called when it begins to run the request `KILLER`. `notices` are headers added to its
+    answers; with `pause_s` it turns all requests away for so long.
     """
 
     def __init__(
@@ -61,6 +62,8 @@
         self.registered = True
         self.born_ms = 1
         self.server = Server(handler=self.handle)
+        self.notices: tuple[tuple[str, str], ...] = ()
+        self.pause_s = 0.0
         self.on_killer: Callable[[LeafServer, str], None] = _ignore
         self._store = store
         self._ledger = ledger
@@ -125,6 +128,13 @@
         self.arrivals.append(trio.current_time())
         if self.fault == "hang":
             conn.silence()
+        if self.pause_s:
+            refused = (
+                ("Not-Executed", "1"),
+                ("Request-Id", request),
+                ("Retry-After", f"{self.pause_s}"),
+            )
+            return Response(503, b"", refused)
         shed = self.fault == "shed" and self._rng.random() < 0.6
         if shed or self._slots.statistics().tasks_waiting >= QUEUE:
             return Response(503, b"", (("Not-Executed", "1"), ("Request-Id", request)))
@@ -147,7 +157,8 @@
         body = b"".join(self._rng.randbytes(16) for _ in range(RECORDS)) + b"rest"
         stamp = self._sign(request, body)
         self._ledger.answered(request, self, stamp, body)
-        headers = (("Server-Stamp", stamp), ("Request-Id", request), ("Server-Load", "1,0,4"))
+        known = (("Server-Stamp", stamp), ("Request-Id", request), ("Server-Load", "1,0,4"))
+        headers = (*known, *self.notices)
         response = Response(200, body, headers)
         if self.fault == "garble" and unlucky:
             await conn.stream.send_all(b"HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\nabc")
