Fewer calls to the store and fewer bytes between regions

Change: the check of a running watch comes each 2 s, and each second for 25 s after a failed request to the store; renewals confirm the age of the records again in between, which the checks bound.

--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/exchange.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/exchange.py
@@ -66,15 +66,20 @@
 
 
 def _members_nearby(state: EdgeState) -> tuple[Member, ...]:
+    return tuple(member for member in state.members.values() if is_nearby(state, member))
+
+
+def is_nearby(state: EdgeState, member: Member) -> bool:
+    """Return whether a member is another node of this node's region."""
     region_of = state.me.region_of
-    region = region_of.get(state.me.domain)
-    return tuple(m for m in _other_members(state) if region_of.get(m.domain) == region)
+    is_same_region = region_of.get(member.domain) == region_of.get(state.me.domain)
+    return is_same_region and member.node != state.me.node
 
 
 def _send_crashes(state: EdgeState, now: float) -> list[Effect]:
     snapshot = state.crashes.next_broadcast(now)
-    others = _other_members(state) if snapshot is not None else ()
-    return [SendCrashes(others, snapshot)] if snapshot is not None and others else []
+    near = _members_nearby(state) if snapshot is not None else ()
+    return [SendCrashes(near, snapshot)] if snapshot is not None and near else []
 
 
 def crashes_heard(state: EdgeState, event: ev.CrashesHeard, now: float) -> list[Effect]:
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/reduce.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/reduce.py
@@ -15,6 +15,7 @@
 from cactussaddle_core.edge.effects import SetTreePosition
 from cactussaddle_core.edge.exchange import crashes_heard
 from cactussaddle_core.edge.exchange import hints_heard
+from cactussaddle_core.edge.exchange import is_nearby
 from cactussaddle_core.edge.exchange import leaving_heard
 from cactussaddle_core.edge.exchange import limits_heard
 from cactussaddle_core.edge.exchange import send_messages
@@ -176,7 +177,7 @@
 def _member_seen(state: EdgeState, event: ev.MemberSeen, now: float) -> list[Effect]:
     effects = _set_members(state, {**state.members, event.member.node: event.member}, now)
     snapshot = state.crashes.full_snapshot(now)
-    if snapshot is not None and event.member.node != state.me.node:
+    if snapshot is not None and is_nearby(state, event.member):
         effects.append(SendCrashes((event.member,), snapshot))
     return effects
 
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/follow.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/follow.py
@@ -1,7 +1,8 @@
 """Keeps a local copy of the store's records up to date, from other nodes or from the store itself.
 
-A watch at the store whose response was lost never returns, and its connection shows no error. While a
-watch runs, the store is therefore asked for its revision often: if it does not answer, or has a newer
+A watch at the store whose response was lost never returns, and its connection shows no error. The
+renewals of this node's registration lease, which store readers send often and cheaply, show whether
+the store answers; now and then it is also asked for its revision. If it does not answer, or has a newer
 revision that the watch does not bring, the watch is cancelled and the store is polled until it answers.
 A followed node answers within a short time even without changes, so an ordinary time-out detects its
 failure.
@@ -35,8 +36,11 @@
     from cactussaddle_core.spread.model import Member
     from cactussaddle_core.spread.model import Record
 
-# Interval of the checks of a running watch, and their time-out.
-CHECK_INTERVAL_S = 1.0
+# Interval of the checks of a running watch, also after a request to the store has failed lately, and
+# their time-out.
+CHECK_INTERVAL_S = 2.0
+TROUBLED_CHECK_INTERVAL_S = 1.0
+TROUBLED_FOR_S = 25.0
 CHECK_TIMEOUT_S = 0.8
 # Time for a running watch to bring a change that the store already has.
 DELIVERY_S = 0.7
@@ -124,6 +128,7 @@
         self._decoder = decoder
         self._feed = feed
         self._loaded = False
+        self._store_failed_at = -math.inf
         self._watch_trusted = False
         self._watch_scope: trio.CancelScope | None = None
 
@@ -131,10 +136,18 @@
         """Return the time since the store confirmed the local records as current."""
         return now - self.confirmed_at
 
+    def confirm(self) -> None:
+        """Record that the store answers; checks show that the running watch has missed no change."""
+        if self._watch_trusted:
+            now = trio.current_time()
+            self.outages.answered(now, now)
+            self._record_confirmation(now)
+
     async def run_checks(self) -> None:
         """Check the running watch of a store reader until cancelled."""
         while True:
-            await trio.sleep(CHECK_INTERVAL_S)
+            is_troubled = trio.current_time() - self._store_failed_at < TROUBLED_FOR_S
+            await trio.sleep(TROUBLED_CHECK_INTERVAL_S if is_troubled else CHECK_INTERVAL_S)
             if self.choice.reads_store and self._watch_scope is not None:
                 await self._check_watch()
 
@@ -223,6 +236,7 @@
     def _report_store_lost(self, reason: str, member: Member | None) -> None:
         now = trio.current_time()
         if member is None:
+            self._store_failed_at = now
             self.outages.request_failed(now)
         age_s = min(self.age_s(now), MAX_AGE_S)
         self._feed(ev.StoreLost(reason, source_name(member), age_s))
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/register.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/register.py
@@ -22,7 +22,7 @@
     from cactussaddle_common.storeapi import StoreError
 
 LEASE_S = 20.0
-# A store reader, whom others follow, renews more often than its lease requires.
+# A store reader renews more often than the lease requires, as a liveness check of the store.
 READER_RENEW_INTERVAL_S = 1.0
 RENEW_INTERVAL_S = 8.0
 RENEW_TIMEOUT_S = 0.8
@@ -44,11 +44,12 @@
 class RegisterHooks(NamedTuple):
     """Callbacks of the registration task.
 
-    `note` logs an event; `unanswered` is called with the reason after a failed renewal. `reads_store`
-    returns whether this node is a store reader.
+    `note` logs an event; `answered` is called after each renewal, `unanswered` with the reason
+    after a failed one. `reads_store` returns whether this node is a store reader.
     """
 
     note: Callable[[LogEvent], None]
+    answered: Callable[[], None]
     unanswered: Callable[[str], None]
     reads_store: Callable[[], bool]
 
@@ -74,5 +75,7 @@
         kept = await store.renew_lease(lease, RENEW_TIMEOUT_S)
         if isinstance(kept, Failure):
             hooks.unanswered(f"lease renewal failed: {kept.failure().detail}")
-        elif not kept.unwrap():
+        elif kept.unwrap():
+            hooks.answered()
+        else:
             return
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/serve.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/serve.py
@@ -107,6 +107,7 @@
         nursery.start_soon(guard.run_restarting, "watch checks", follower.run_checks)
         registration = RegisterHooks(
             note=daemon.note,
+            answered=follower.confirm,
             unanswered=follower.interrupt_watch,
             reads_store=lambda: follower.choice.reads_store,
         )
--- a/tests/node/edge/fleetnet.py
+++ b/tests/node/edge/fleetnet.py
@@ -40,6 +40,7 @@
 TRIP_S = 0.01
 STORE_TRIP_S = 0.005
 LEAF_PREFIX = "leaf/"
+RENEW_EVERY_S = 1.0
 NO_ANSWER_S = 1.0
 UNAVAILABLE_RESULT = Failure(StoreError(StoreErrorKind.UNAVAILABLE, "out"))
 
@@ -105,6 +106,16 @@
         news = tuple(r for r in self.net.records if r.revision > after)
         return Success(Batch(news, self.net.revision, False, 0.0))
 
+    async def renew(self) -> None:
+        while True:
+            await trio.sleep(RENEW_EVERY_S)
+            if not self.follower.choice.reads_store:
+                continue
+            if self.refused:
+                self.follower.interrupt_watch("renewal")
+            else:
+                self.follower.confirm()
+
     async def newest_revision(self):
         self.net.store_checks += 1
         if self.refused:
@@ -180,6 +191,7 @@
         async with trio.open_nursery() as nursery:
             for node in self.nodes.values():
                 nursery.start_soon(node.follower.run)
+                nursery.start_soon(node.renew)
                 nursery.start_soon(node.follower.run_checks)
             await trio.sleep(5.0)
             await body()
