--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/crashes.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/crashes.py
@@ -33,11 +33,13 @@
     from cactussaddle_core.hold.trials import TrialEnded
     from cactussaddle_core.hold.trials import WriteTrial
 
-# Each record is broadcast this many times, since messages may be lost.
+# Each record is broadcast to the nodes of the region this many times, since messages may be lost.
 BROADCAST_REPEATS = 3
 BROADCAST_INTERVAL_S = 0.3
-# Reports in one message. Many requests are under way at a leaf that goes down, and all nodes tell all others.
+# Crash reports in one message to nearby nodes, and to those of other regions. Many requests are under
+# way at a leaf that goes down, and all nodes tell the others.
 MAX_BROADCAST_STRIKES = 16
+MAX_REPORTED_STRIKES = 4
 # How long a request is watched after a crash for becoming a suspect by crashes elsewhere.
 WATCH_S = 5.0
 # New suspects are written to the store in small groups; the least suspect beyond these are left out.
@@ -56,6 +58,7 @@
         self._watched: dict[str, str] = {}
         self._unstored: set[str] = set()
         self._store_at = 0.0
+        self._unreported: list[Strike] = []
         self._broadcasts_left = 0
         self._broadcast_counts: Counter[Strike | Clearance] = Counter()
         self._next_broadcast_at = 0.0
@@ -108,9 +111,10 @@
         return [*events, *self._newly_held(now)]
 
     def _record_crash(self, leaf: Leaf, fingerprints: list[str], now: float) -> None:
-        self._book.crashed(leaf.name, str(leaf.entry.born_ms), fingerprints, now)
+        strikes = self._book.crashed(leaf.name, str(leaf.entry.born_ms), fingerprints, now)
         if fingerprints:
             self._broadcasts_left = BROADCAST_REPEATS
+            self._unreported += strikes
         for fingerprint in fingerprints:
             self._watched[fingerprint] = leaf.name
 
@@ -175,8 +179,14 @@
         requests = {strike.fingerprint for strike in new}
         return CrashesLearned(len(leaves), len(requests))
 
+    def next_report(self) -> HoldSnapshot | None:
+        """Return the few most suspect crashes that other regions have not been told; each is sent once."""
+        new, self._unreported = self._unreported, []
+        strikes = self._most_suspect(new)[:MAX_REPORTED_STRIKES]
+        return HoldSnapshot(strikes, ()) if strikes else None
+
     def next_broadcast(self, now: float) -> HoldSnapshot | None:
-        """Return the records to send to all nodes now, leaving out those broadcast often enough."""
+        """Return the records to send to nearby nodes now, leaving out those broadcast often enough."""
         if self._broadcasts_left == 0 or now < self._next_broadcast_at:
             return None
         self._broadcasts_left -= 1
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/exchange.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/exchange.py
@@ -69,6 +69,10 @@
     return tuple(member for member in state.members.values() if is_nearby(state, member))
 
 
+def _members_of_other_regions(state: EdgeState) -> tuple[Member, ...]:
+    return tuple(member for member in _other_members(state) if not is_nearby(state, member))
+
+
 def is_nearby(state: EdgeState, member: Member) -> bool:
     """Return whether a member is another node of this node's region."""
     region_of = state.me.region_of
@@ -77,9 +81,17 @@
 
 
 def _send_crashes(state: EdgeState, now: float) -> list[Effect]:
+    """Send nearby nodes all crash reports, and the nodes of other regions the most suspect ones."""
+    effects: list[Effect] = []
     snapshot = state.crashes.next_broadcast(now)
     near = _members_nearby(state) if snapshot is not None else ()
-    return [SendCrashes(near, snapshot)] if snapshot is not None and near else []
+    if snapshot is not None and near:
+        effects.append(SendCrashes(near, snapshot))
+    report = state.crashes.next_report()
+    far = _members_of_other_regions(state) if report is not None else ()
+    if report is not None and far:
+        effects.append(SendCrashes(far, report))
+    return effects
 
 
 def crashes_heard(state: EdgeState, event: ev.CrashesHeard, now: float) -> list[Effect]:
--- a/tests/core/edge/test_crashes.py
+++ b/tests/core/edge/test_crashes.py
@@ -6,6 +6,7 @@
 from cactussaddle_core.edge import effects as fx
 from cactussaddle_core.edge import events as ev
 from cactussaddle_core.edge.crashes import MAX_BROADCAST_STRIKES
+from cactussaddle_core.edge.crashes import MAX_REPORTED_STRIKES
 from cactussaddle_core.edge.crashes import CrashTracker
 from cactussaddle_core.edge.logevents import LeafCrashed
 from cactussaddle_core.fanout.model import CallEnding
@@ -223,6 +224,17 @@
         self.collect(20.2)
         self.assertTrue(self.tracker.is_held("poison", 20.2))
 
+    def test_other_regions_are_told_the_most_suspect_requests_once(self):
+        for number in range(3):
+            many = [f"bystander-{n}" for n in range(10)] if number == 0 else []
+            self.mark_down(f"s{number}", DOMAINS[0], [*many, "poison"], 20.0)
+        self.collect(20.0)
+        report = self.tracker.next_report()
+        assert report is not None
+        told = [strike.fingerprint for strike in report.strikes]
+        self.assertEqual((len(told), told[:3]), (MAX_REPORTED_STRIKES, ["poison"] * 3))
+        self.assertIsNone(self.tracker.next_report())
+
     def test_a_message_carries_the_most_suspect_requests_first(self):
         for number in range(3):
             many = [f"bystander-{n}" for n in range(100)] if number == 0 else []
