--- a/packages/cactussaddle-core/src/cactussaddle_core/fanout/promises.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/promises.py
@@ -40,16 +40,16 @@
         Promise.COLD_LIMIT,
         f"{leaf.cold_meter.count(now)} calls within a second to cold leaf {leaf.name}",
     )
-    require(
-        leaf.limit_per_s is None or (leaf.quota is not None and leaf.quota.is_kept),
-        Promise.NAMED_LIMIT,
-        f"call to {leaf.name} beyond this node's share of its limit of {leaf.limit_per_s} a second",
-    )
-    require(
-        now >= leaf.pause_until,
-        Promise.LEAF_PAUSE,
-        f"call to {leaf.name}, which wants nothing for {leaf.pause_until - now:.1f} s",
-    )
+    if leaf.limit_per_s is not None:
+        require(
+            leaf.quota is not None and leaf.quota.is_kept,
+            Promise.NAMED_LIMIT,
+            f"call to {leaf.name} beyond this node's share of its limit of {leaf.limit_per_s} a second",
+        )
+    if now < leaf.pause_until:
+        left_s = leaf.pause_until - now
+        detail = f"call to {leaf.name}, which wants nothing for {left_s:.1f} s"
+        require(False, Promise.LEAF_PAUSE, detail)
     state.rollouts.require_may_send(part.service, leaf.entry.version, now)
 
 
--- a/packages/cactussaddle-core/src/cactussaddle_core/fleet/fleet.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fleet/fleet.py
@@ -19,6 +19,7 @@
 from cactussaddle_core.fleet.hints import HintKind
 from cactussaddle_core.fleet.hints import LeavingNote
 from cactussaddle_core.fleet.leaf import Leaf
+from cactussaddle_core.fleet.model import NO_NOTICE
 from cactussaddle_core.fleet.model import Availability
 from cactussaddle_core.fleet.probeplan import ProbePlan
 from cactussaddle_core.limits.leaflimit import LimitNote
@@ -169,6 +170,8 @@
 
     def notice_given(self, leaf: Leaf, notice: LeafNotice, now: float) -> None:
         """Apply what a leaf says of itself in an answer."""
+        if notice is NO_NOTICE and leaf.limit_per_s is None:
+            return
         self.limit_named(leaf, notice.limit_per_s, now)
         if notice.pause_s is not None:
             self._pause(leaf, notice.pause_s, now)
@@ -283,11 +286,10 @@
         It is not while it is leaving, its entry has been removed, another leaf answers at its address,
         its failure domain is out, or it has asked this node for a pause.
         """
-        if leaf.is_leaving or leaf.displaced or now >= leaf.drop_at:
-            return False
-        if now < leaf.pause_until:
+        entry = leaf.entry
+        if entry.draining or leaf.said_leaving or leaf.displaced or now >= leaf.drop_at:
             return False
-        return leaf.entry.domain not in self.domains_out
+        return now >= leaf.pause_until and entry.domain not in self.domains_out
 
     def _put(self, leaf: Leaf) -> None:
         self.limited.pop(leaf.name, None)
--- a/packages/cactussaddle-core/src/cactussaddle_core/fleet/leaf.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fleet/leaf.py
@@ -105,7 +105,7 @@
 
     def may_be_cold(self, now: float) -> bool:
         """Return whether the leaf is cold, or is down and so may be starting again."""
-        return self.is_cold(now) or self.availability is Availability.DOWN
+        return now < self.cold_until or self.availability is Availability.DOWN
 
     def is_stalled(self, now: float) -> bool:
         """Return whether a call is overdue: the leaf may be paused or unreachable."""
--- a/packages/cactussaddle-core/src/cactussaddle_core/fleet/model.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fleet/model.py
@@ -49,6 +49,9 @@
     pause_s: float | None = None
 
 
+NO_NOTICE = LeafNotice()
+
+
 class Availability(enum.StrEnum):
     """Whether a leaf is believed to be available for new calls."""
 
