--- a/packages/cactussaddle-cli/src/cactussaddle_cli/loglines/cause.py
+++ b/packages/cactussaddle-cli/src/cactussaddle_cli/loglines/cause.py
@@ -25,14 +25,31 @@
     """Return a sentence that explains the result of the request."""
     last = story.own[-1]
     if last.event == "caller_left":
-        return (
-            f"The caller left after {last.fields.get('after_ms')} ms, before there was an answer."
-        )
+        return _left(last)
+    if last.event == "requests_dropped":
+        return f"Read and dropped without an answer: {last.fields.get('reason')}."
+    if last.event == "stop_progress":
+        return _open_at_stop(last, story.around)
     if last.event == "request_refused":
         return _refused(last, story.around)
     return _ended(last, story.around)
 
 
+def _left(line: Line) -> str:
+    text = (
+        f"The connection ended after {line.fields.get('after_ms')} ms, before there was an answer"
+    )
+    return f"{text}, while the node was stopping." if line.fields.get("stopping") else f"{text}."
+
+
+def _open_at_stop(line: Line, around: Sequence[Line]) -> str:
+    """Explain a request whose last line says that it was in progress during a stop."""
+    text = f"In progress {line.fields.get('since_s')} s after the node was asked to stop"
+    if any(later.event == "stopped" and later.time >= line.time for later in around):
+        return f"{text}; the node ended in order, so its answer was whole and its line left out."
+    return f"{text}; no later line and no end of the process: most likely killed with the request."
+
+
 def _refused(line: Line, around: Sequence[Line]) -> str:
     result = line.fields.get("result")
     if result == "NOT_CONFIGURED":
--- a/packages/cactussaddle-cli/src/cactussaddle_cli/loglines/story.py
+++ b/packages/cactussaddle-cli/src/cactussaddle_cli/loglines/story.py
@@ -17,7 +17,11 @@
 # Events up to this long before a request's end may have affected it.
 BEFORE_S = 6.0
 AFTER_S = 1.0
-REQUEST_EVENTS = frozenset({"request_ended", "request_refused", "caller_left"})
+# A stop ends within the platform's grace period.
+STOP_AFTER_S = 10.0
+REQUEST_EVENTS = frozenset({"request_ended", "request_refused", "caller_left", "requests_dropped"})
+# Fields of lines that name several requests.
+REQUEST_LISTS = {"requests_dropped": "requests", "stop_progress": "open"}
 LEAF_EVENTS = frozenset(
     {"leaf_standing", "leaf_started", "leaf_draining", "leaf_unlisted", "leaves_dropped"}
 )
@@ -34,12 +38,13 @@
 def find_story(lines: Iterable[Line], request: str) -> Story | None:
     """Return the lines of a request; None if no line names it."""
     listed = list(lines)
-    own = [line for line in listed if line.fields.get("request") == request]
+    own = [line for line in listed if _names(line, request)]
     if not own:
         return None
     nodes = {line.node for line in own}
     leaves = {call.leaf for line in own for call in calls_of(line)}
-    first, last = own[0].time - BEFORE_S, own[-1].time + AFTER_S
+    after_s = STOP_AFTER_S if own[-1].event == "stop_progress" else AFTER_S
+    first, last = own[0].time - BEFORE_S, own[-1].time + after_s
     around = [
         line
         for line in listed
@@ -48,6 +53,14 @@
     return Story(request, tuple(own), tuple(around))
 
 
+def _names(line: Line, request: str) -> bool:
+    """Return whether a line names a request, alone or among others."""
+    if line.fields.get("request") == request:
+        return True
+    named = line.fields.get(REQUEST_LISTS.get(line.event, ""), ())
+    return isinstance(named, list) and request in named
+
+
 def calls_of(line: Line) -> list[CallTrace]:
     """Return the calls in a request's line."""
     raw = line.fields.get("calls", [])
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/loading.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/loading.py
@@ -36,9 +36,11 @@
         self._pending.append(PendingRequest(request, now))
         return True
 
-    def remove(self, req_id: int) -> None:
-        """Remove the request of a caller that has disconnected."""
+    def remove(self, req_id: int) -> PendingRequest | None:
+        """Remove and return the request of a caller that has disconnected; None if it doesn't wait."""
+        found = [pending for pending in self._pending if pending.request.req_id == req_id]
         self._pending = [pending for pending in self._pending if pending.request.req_id != req_id]
+        return found[0] if found else None
 
     def take_all(self) -> list[PendingRequest]:
         """Remove and return all requests, oldest first."""
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/logevents.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/logevents.py
@@ -9,6 +9,8 @@
 
 # Fingerprints listed in one line.
 MAX_LOGGED_FINGERPRINTS = 8
+# Requests listed in one line.
+MAX_LOGGED_REQUESTS = 16
 # Longest text of a caller in one line.
 MAX_LOGGED_TEXT = 120
 
@@ -24,16 +26,31 @@
 
 
 class Stopped(NamedTuple):
-    """The process is about to exit."""
+    """The process is about to exit; `connections` of callers are still open."""
 
     requests: int
+    connections: int
 
 
 class StopAsked(NamedTuple):
-    """The platform has asked the process to stop."""
+    """The platform has asked the process to stop, which has run for `uptime_s`."""
 
     grace_s: float
     requests: int
+    uptime_s: float
+
+
+class StopProgress(NamedTuple):
+    """The process has been stopping for `since_s`; `open` names the oldest of its `requests`.
+
+    A process that is killed writes no line at the end of the requests that are cut. `open` is cut at
+    `MAX_LOGGED_REQUESTS`.
+    """
+
+    since_s: float
+    phase: str
+    requests: int
+    open: tuple[str, ...]
 
 
 class Reloaded(NamedTuple):
@@ -303,12 +320,30 @@
 
 
 class CallerLeft(NamedTuple):
-    """A caller closed its connection before the answer; its calls were cancelled."""
+    """A connection ended before the answer to its request, whose calls were cancelled.
+
+    `route` is empty if the request had not been started. `stopping` is set if the node was asked to
+    stop before.
+    """
 
     request: str
     route: str
     after_ms: float
     calls: int
+    stopping: bool
+
+
+class RequestsDropped(NamedTuple):
+    """What a caller had sent was read and dropped: whole `requests`, by id, or an `unfinished` one.
+
+    `reason` tells what had ended the connection before. Bytes that were not parsed any more count as
+    an unfinished request.
+    """
+
+    reason: str
+    requests: tuple[str, ...]
+    unfinished: bool
+    stopping: bool
 
 
 class Breach(NamedTuple):
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/logpriority.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/logpriority.py
@@ -30,12 +30,14 @@
 from cactussaddle_core.edge.logevents import RequestEnded
 from cactussaddle_core.edge.logevents import RequestHeld
 from cactussaddle_core.edge.logevents import RequestRefused
+from cactussaddle_core.edge.logevents import RequestsDropped
 from cactussaddle_core.edge.logevents import RolloutOrdered
 from cactussaddle_core.edge.logevents import RolloutStatus
 from cactussaddle_core.edge.logevents import RolloutWriteFailed
 from cactussaddle_core.edge.logevents import Started
 from cactussaddle_core.edge.logevents import StopAsked
 from cactussaddle_core.edge.logevents import Stopped
+from cactussaddle_core.edge.logevents import StopProgress
 from cactussaddle_core.edge.logevents import StoreBack
 from cactussaddle_core.edge.logevents import StoreLost
 from cactussaddle_core.edge.logevents import SuspectTried
@@ -64,13 +66,12 @@
         ReloadFailed,
     }
 )
-ROUTINE: frozenset[type[Any]] = frozenset(
-    {LeafStarted, LeafStanding, LeafLimited, LeafPaused, CallerLeft}
-)
+ROUTINE: frozenset[type[Any]] = frozenset({LeafStarted, LeafStanding, LeafLimited, LeafPaused})
 EVENTS: tuple[type[Any], ...] = (
     Started,
     Stopped,
     StopAsked,
+    StopProgress,
     Reloaded,
     ReloadFailed,
     Registered,
@@ -101,6 +102,7 @@
     SuspectTried,
     TrialWriteFailed,
     CallerLeft,
+    RequestsDropped,
     Breach,
     UnexpectedError,
     LinesDropped,
@@ -117,6 +119,8 @@
     if isinstance(event, RequestEnded):
         whole = event.answered == event.parts and event.took_ms <= event.objective_ms
         return LogPriority.ROUTINE if whole else LogPriority.FAILURE
+    if isinstance(event, CallerLeft | RequestsDropped):
+        return LogPriority.FAILURE if event.stopping else LogPriority.CHANGE
     if type(event) in FAILURES:
         return LogPriority.FAILURE
     return LogPriority.ROUTINE if type(event) in ROUTINE else LogPriority.CHANGE
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/reduce.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/reduce.py
@@ -49,6 +49,7 @@
 
     from cactussaddle_core.edge.effects import Effect
     from cactussaddle_core.edge.state import EdgeState
+    from cactussaddle_core.fanout.model import CallerRequest
     from cactussaddle_core.spread.model import Member
 
 
@@ -79,15 +80,30 @@
 def _caller_gone(state: EdgeState, event: ev.CallerGone, now: float) -> list[Effect]:
     query = state.fanout.queries.get(event.req_id)
     if query is None:
-        state.pending_requests.remove(event.req_id)
-        state.crashes.trials.caller_gone(event.req_id)
-        return []
+        return _waiting_caller_gone(state, event.req_id, now)
     calls = sum(len(part.open_calls) for part in query.parts)
-    after_ms = round((now - query.started_at) * 1000.0, 1)
-    left = log.CallerLeft(query.request.request_id, query.route.name, after_ms, calls)
+    left = _caller_left(state, query.request, query.started_at, now)
+    left = left._replace(route=query.route.name, calls=calls)
     return [LogEvent(left), *fanout.caller_gone(state.fanout, event.req_id, now)]
 
 
+def _waiting_caller_gone(state: EdgeState, req_id: int, now: float) -> list[Effect]:
+    """Drop a request that waits for the node to load or for a permit."""
+    waiting: tuple[CallerRequest, float] | None = state.pending_requests.remove(req_id)
+    waiting = waiting or state.crashes.trials.caller_gone(req_id)
+    if waiting is None:
+        return []
+    request, arrived_at = waiting
+    return [LogEvent(_caller_left(state, request, arrived_at, now))]
+
+
+def _caller_left(
+    state: EdgeState, request: CallerRequest, since: float, now: float
+) -> log.CallerLeft:
+    after_ms = round((now - since) * 1000.0, 1)
+    return log.CallerLeft(request.request_id, "", after_ms, 0, state.stopping.asked)
+
+
 def _call_left(state: EdgeState, event: ev.CallLeft, now: float) -> list[Effect]:
     fanout.call_left(state.fanout, event.call_id, now)
     return []
@@ -245,7 +261,8 @@
 
 def _stop_asked(state: EdgeState, event: ev.StopAsked, now: float) -> list[Effect]:
     state.stopping.request(event.grace_s, now)
-    return [LogEvent(log.StopAsked(event.grace_s, len(state.fanout.queries)))]
+    uptime_s = round(now - state.started_at, 2)
+    return [LogEvent(log.StopAsked(event.grace_s, len(state.fanout.queries), uptime_s))]
 
 
 def _tick(state: EdgeState, event: ev.Tick, now: float) -> list[Effect]:
@@ -281,8 +298,23 @@
 
 
 def _advance_stop(state: EdgeState, now: float) -> list[Effect]:
+    effects: list[Effect] = []
+    if state.stopping.take_progress_due(now):
+        effects.append(LogEvent(_stop_progress(state, now)))
     if not state.stopping.is_closing(now):
-        return []
+        return effects
+    return effects + _close_or_exit(state, now)
+
+
+def _stop_progress(state: EdgeState, now: float) -> log.StopProgress:
+    queries = state.fanout.queries.values()
+    oldest = [query.request.request_id for query in queries][: log.MAX_LOGGED_REQUESTS]
+    stopping = state.stopping
+    since_s = round(now - stopping.asked_at, 2)
+    return log.StopProgress(since_s, stopping.phase(now).value, len(queries), tuple(oldest))
+
+
+def _close_or_exit(state: EdgeState, now: float) -> list[Effect]:
     effects: list[Effect] = []
     if state.stopping.must_give_up(now):
         effects += fanout.give_up(state.fanout, now)
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/state.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/state.py
@@ -70,6 +70,7 @@
     ) -> None:
         self.me = me
         self.rules = rules
+        self.started_at = started_at
         self.current_table = CurrentTable()
         self.round_robin = WeightedRoundRobin()
         self.fleet = Fleet()
--- a/packages/cactussaddle-core/src/cactussaddle_core/hold/trials.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/hold/trials.py
@@ -184,12 +184,17 @@
         """Record that the permitted trial runs; `query` is None if the request was refused."""
         self._running[permitted.fingerprint] = _Running(query, permitted)
 
-    def caller_gone(self, req_id: int) -> None:
-        """Forget a request that waits for the store, as its caller has left."""
+    def caller_gone(self, req_id: int) -> tuple[CallerRequest, float] | None:
+        """Forget a request that waits for the store, as its caller has left.
+
+        Return it with the time of its arrival; None if it doesn't wait.
+        """
         for fingerprint, applicant in list(self._applicants.items()):
             if applicant.request.req_id == req_id:
                 del self._applicants[fingerprint]
                 self._leave_unused(applicant.record)
+                return applicant.request, applicant.arrived_at
+        return None
 
     def take_overdue(self, now: float) -> list[CallerRequest]:
         """Remove and return the requests that have waited too long for the store."""
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/caller.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/caller.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 import math
 import select
 import socket
@@ -37,17 +38,35 @@
 MIN_BODY_BYTES_PER_S = 1024.0
 
 
+class DropReason(enum.StrEnum):
+    """Why data that was read from a connection is dropped."""
+
+    AFTER_LAST = "received after the last request"
+    BEHIND_LAST = "sent ahead behind the last answer"
+    CLOSED = "connection closed"
+
+
+class Dropped(NamedTuple):
+    """Whole requests, and perhaps an unfinished one, that were read from a connection and dropped."""
+
+    reason: DropReason
+    requests: tuple[IncomingRequest, ...]
+    unfinished: bool
+
+
 class CallerHooks(NamedTuple):
     """Callbacks from a connection to its owner.
 
     `request_received` is called for each complete request, with a number from
     `next_request_number`; `caller_disconnected` for a request in progress whose caller has closed
-    the connection. While `stopping` returns true, connections are closed after their next answer.
+    the connection; `data_dropped` for what is read and never answered. While `stopping` returns true,
+    connections are closed after their next answer.
     """
 
     next_request_number: Callable[[], int]
     request_received: Callable[[int, CallerConnection, IncomingRequest], None]
     caller_disconnected: Callable[[int], None]
+    data_dropped: Callable[[Dropped], None]
     ended: Callable[[CallerConnection], None]
     stopping: Callable[[], bool]
     limits: Callable[[], CallerLimits]
@@ -134,6 +153,7 @@
         if self._ended:
             return
         self._ended = True
+        self._drop_received(DropReason.CLOSED)
         self._send_buffer.discard()
         self._reader.close()
         trio.lowlevel.notify_closing(self._sock)
@@ -161,7 +181,9 @@
             return
         if not data:
             self.close()
-        elif not self._reading_stopped:
+        elif self._reading_stopped:
+            self._hooks.data_dropped(Dropped(DropReason.AFTER_LAST, (), True))
+        else:
             self._process_data(data)
 
     async def _wait_readable(self) -> None:
@@ -243,6 +265,7 @@
         """
         self._reading_stopped = True
         self._finishing = True
+        self._drop_received(DropReason.BEHIND_LAST)
         if self._send_buffer.pending:
             return
         try:
@@ -250,6 +273,15 @@
         except OSError:
             self.close()
 
+    def _drop_received(self, reason: DropReason) -> None:
+        """Report the requests and the part of a request that were read and will not be answered."""
+        requests = tuple(self._pipelined)
+        is_unfinished = self._reader.started
+        if requests or is_unfinished:
+            self._pipelined.clear()
+            self._reader.close()
+            self._hooks.data_dropped(Dropped(reason, requests, is_unfinished))
+
     def _on_drained(self) -> None:
         if self._finishing and not self._ended:
             self._finish()
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/daemon.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/daemon.py
@@ -49,6 +49,7 @@
     from cactussaddle_core.routing.model import CallerLimits
     from cactussaddle_core.spread.tree import TreePosition
     from cactussaddle_node.edge.caller import CallerConnection
+    from cactussaddle_node.edge.caller import Dropped
     from cactussaddle_node.edge.listener import Listener
     from cactussaddle_platform.registry import RolloutRecords
     from cactussaddle_platform.registry import TrialRecords
@@ -65,6 +66,7 @@
 LAST_ANSWERS_TIMEOUT_S = 0.4
 # Logged as the age of records that the store has never confirmed.
 MAX_LOGGED_AGE_S = 1e6
+UNANSWERED_COUNTER = "cactussaddle_requests_unanswered_total"
 
 
 class EdgeDaemon:
@@ -164,6 +166,7 @@
             next_request_number=self._next_request_number,
             request_received=self._on_request,
             caller_disconnected=self._on_disconnect,
+            data_dropped=self._on_dropped,
             ended=listener.connections.discard,
             stopping=lambda: self.state.stopping.is_closing(trio.current_time()),
             limits=self._limits,
@@ -188,6 +191,8 @@
             )
         elif isinstance(event, log.RequestHeld):
             self.metrics.count("cactussaddle_requests_held_total", {})
+        elif isinstance(event, log.CallerLeft):
+            self.metrics.count(UNANSWERED_COUNTER, {"reason": "caller left"})
 
     def gauges(self, registry_age_s: float, store_calls: int) -> dict[str, dict[str, float]]:
         """Return the current values of the gauge metrics."""
@@ -231,6 +236,16 @@
         if self._connections.pop(number, None) is not None:
             self.feed(ev.CallerGone(number))
 
+    def _on_dropped(self, dropped: Dropped) -> None:
+        decoded = [callers.decode_request(0, one.head, one.body) for one in dropped.requests]
+        ids = tuple("" if isinstance(one, str) else one.request_id for one in decoded)
+        self.metrics.count(
+            UNANSWERED_COUNTER, {"reason": dropped.reason.value}, max(1.0, len(dropped.requests))
+        )
+        is_stopping = self.state.stopping.asked
+        event = log.RequestsDropped(dropped.reason.value, ids, dropped.unfinished, is_stopping)
+        self.log.write(event, trio.current_time())
+
     def _answer(self, number: int, answer: OutgoingResponse) -> None:
         connection = self._connections.pop(number, None)
         if connection is not None:
@@ -351,6 +366,10 @@
         if self._listener is None or self._listener.end(forced=effect.forced):
             self.stopped.set()
 
+    def open_connections(self) -> int:
+        """Return the number of callers' connections."""
+        return len(self._listener.connections) if self._listener is not None else 0
+
     async def wait_answers_read(self) -> None:
         """Wait up to `LAST_ANSWERS_TIMEOUT_S` for callers to read their answers and disconnect."""
         if self._listener is not None:
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/internalhooks.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/internalhooks.py
@@ -14,6 +14,7 @@
 
     from cactussaddle_common.http.requestreader import IncomingRequest
     from cactussaddle_node.edge.caller import CallerConnection
+    from cactussaddle_node.edge.caller import Dropped
     from cactussaddle_node.edge.listener import Listener
 
 
@@ -27,6 +28,7 @@
         next_request_number=lambda: next(numbers),
         request_received=request_received,
         caller_disconnected=_ignore_disconnect,
+        data_dropped=_ignore_dropped,
         ended=listener.connections.discard,
         stopping=_never,
         limits=lambda: DEFAULT_CALLER_LIMITS,
@@ -37,5 +39,9 @@
     """Do nothing: an answer to a closed connection is dropped with it."""
 
 
+def _ignore_dropped(dropped: Dropped) -> None:
+    """Do nothing: nodes and operators ask again."""
+
+
 def _never() -> bool:
     return False
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/metrics.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/metrics.py
@@ -24,6 +24,7 @@
     "cactussaddle_breaches_total": "Broken promises by name.",
     "cactussaddle_crash_reports_total": "Requests running on leaves that went down, by source.",
     "cactussaddle_requests_held_total": "Requests newly held because they crash leaves.",
+    "cactussaddle_requests_unanswered_total": "Requests that ended without an answer, by reason.",
     "cactussaddle_errors_total": "Faults of the program, by the event that met one.",
 }
 GAUGES: Mapping[str, str] = {
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/serve.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/serve.py
@@ -115,7 +115,8 @@
         nursery.start_soon(guard.run_restarting, "signals", _watch_signals, daemon, reloader)
         await daemon.stopped.wait()
         await daemon.wait_answers_read()
-        daemon.note(fx.LogEvent(log.Stopped(len(daemon.state.fanout.queries))))
+        stopped = log.Stopped(len(daemon.state.fanout.queries), daemon.open_connections())
+        daemon.note(fx.LogEvent(stopped))
         daemon.log.flush(trio.current_time())
         nursery.cancel_scope.cancel()
 
--- a/tests/cli/test_cause.py
+++ b/tests/cli/test_cause.py
@@ -5,6 +5,7 @@
 from cactussaddle_cli.loglines.cause import likely_cause
 from cactussaddle_cli.loglines.reading import Line
 from cactussaddle_cli.loglines.story import Story
+from cactussaddle_cli.loglines.story import find_story
 
 REFUSAL = {
     "request": "r1",
@@ -15,6 +16,36 @@
 }
 
 
+def line(at: float, event: str, **fields) -> Line:
+    return Line(at, "n1", event, fields)
+
+
+class NoAnswerTest(unittest.TestCase):
+    """Requests whose connections ended without an answer."""
+
+    def cause(self, *lines: Line) -> str:
+        story = find_story(lines, "r1")
+        assert story is not None
+        return likely_cause(story)
+
+    def test_a_request_open_at_a_stop_without_an_end_was_killed(self):
+        progress = line(5.0, "stop_progress", since_s=5.5, open=["r0", "r1"])
+        self.assertIn("killed", self.cause(progress))
+
+    def test_a_request_open_at_a_stop_that_ended_was_answered(self):
+        progress = line(5.0, "stop_progress", since_s=3.0, open=["r1"])
+        self.assertIn("in order", self.cause(progress, line(7.5, "stopped", requests=0)))
+
+    def test_its_own_line_goes_before_the_progress_of_the_stop(self):
+        progress = line(5.0, "stop_progress", since_s=3.0, open=["r1"])
+        left = line(5.2, "caller_left", request="r1", after_ms=250.0, stopping=True)
+        self.assertIn("while the node was stopping", self.cause(progress, left))
+
+    def test_requests_that_were_dropped_are_found_among_others(self):
+        dropped = line(5.0, "requests_dropped", reason="connection closed", requests=["r0", "r1"])
+        self.assertIn("dropped without an answer", self.cause(dropped))
+
+
 class UnknownRouteTest(unittest.TestCase):
     def cause(self, **fields) -> str:
         line = Line(1.0, "n1", "request_refused", {**REFUSAL, **fields})
--- a/tests/core/edge/test_edge.py
+++ b/tests/core/edge/test_edge.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import itertools
 import random
 import unittest
 
@@ -81,6 +82,30 @@
         ends = [type(effect) for effect in world.effects]
         self.assertGreater(ends.index(fx.EndProcess), ends.index(fanfx.Declined))
 
+    def test_the_progress_of_a_stop_names_the_requests_in_progress(self):
+        """A killed process writes no other line of the requests that are cut."""
+        world = World()
+        for domain in DOMAINS:
+            world.behaviors[leaf_name("orders", domain)] = unresponsive
+        world.feed(ev.StopAsked(6.0))
+        req_id = world.ask(b"/u/1", timeout_s=9.0)
+        world.run(4.9)
+        lines = [note for note in world.notes if isinstance(note, log.StopProgress)]
+        gaps_s = [after.since_s - before.since_s for before, after in itertools.pairwise(lines)]
+        self.assertGreaterEqual(len(lines), 8)
+        self.assertLess(max(gaps_s), 0.65)
+        self.assertEqual({line.phase for line in lines}, {"serving", "closing"})
+        request = world.state.fanout.queries[req_id].request.request_id
+        self.assertEqual({line.open for line in lines}, {(request,)})
+
+    def test_a_caller_that_leaves_is_logged_also_before_its_request_starts(self):
+        world = World(loaded=False)
+        req_id = world.ask()
+        world.feed(ev.StopAsked(6.0))
+        world.feed(ev.CallerGone(req_id))
+        left = [note for note in world.notes if isinstance(note, log.CallerLeft)]
+        self.assertEqual([(note.route, note.stopping) for note in left], [("", True)])
+
     def test_shares_follow_the_members(self):
         world = World(nodes=2)
         few = world.state.connections(world.leaf("s0", DOMAINS[0]), world.now).most
@@ -190,6 +215,12 @@
         self.assertEqual(logpriority.event_name(log.TableInForce), "table_in_force")
         self.assertEqual(logpriority.event_name(log.RequestEnded), "request_ended")
 
+    def test_callers_that_leave_a_stopping_node_have_the_priority_of_failures(self):
+        left = log.CallerLeft("r", "route", 10.0, 1, False)
+        self.assertEqual(logpriority.log_priority(left), logpriority.LogPriority.CHANGE)
+        left = left._replace(stopping=True)
+        self.assertEqual(logpriority.log_priority(left), logpriority.LogPriority.FAILURE)
+
     def test_failed_and_late_requests_have_a_higher_log_priority(self):
         good = log.RequestEnded(
             "r", "f", "route", "COMPLETE", "", 10.0, 100.0, 90.0, 1, 1, 1, 0, 0, 1, 0.0, 0.0, ()
--- a/tests/node/edge/test_caller.py
+++ b/tests/node/edge/test_caller.py
@@ -9,6 +9,8 @@
 from cactussaddle_core.routing.model import CallerLimits
 from cactussaddle_node.edge.caller import CallerConnection
 from cactussaddle_node.edge.caller import CallerHooks
+from cactussaddle_node.edge.caller import Dropped
+from cactussaddle_node.edge.caller import DropReason
 from cactussaddle_node.edge.guard import TaskGuard
 from cactussaddle_node.edge.listener import Listener
 from cactussaddle_node.startup import listen
@@ -26,6 +28,7 @@
         self.stopping = False
         self.arrived: list[tuple[int, CallerConnection, object]] = []
         self.gone: list[int] = []
+        self.dropped: list[Dropped] = []
         self.port = 0
         self.errors: list[tuple[str, str, str]] = []
         self._next = 0
@@ -35,6 +38,7 @@
             next_request_number=self.take_id,
             request_received=self.take,
             caller_disconnected=self.gone.append,
+            data_dropped=self.dropped.append,
             ended=listener.connections.discard,
             stopping=lambda: self.stopping,
             limits=lambda: LIMITS,
@@ -229,6 +233,21 @@
 
         self.run_node(body)
 
+    def test_what_is_read_and_never_answered_is_reported(self):
+        async def body(node, listener, stream):
+            await stream.send_all(b"GET /a HTTP/1.1\r\nConnection: close\r\n\r\n")
+            await read_until(stream, b"/a")
+            await stream.send_all(b"GET /b HTTP/1.1\r\n\r\n")
+            await wait_for(lambda: node.dropped)
+            self.assertEqual(node.dropped[0].reason, DropReason.AFTER_LAST)
+            async with await trio.open_tcp_stream("127.0.0.1", node.port) as other:
+                await other.send_all(b"GET /c HT")
+                await trio.sleep(0.05)
+            await wait_for(lambda: len(node.dropped) == 2)
+            self.assertEqual(node.dropped[1], (DropReason.CLOSED, (), True))
+
+        self.run_node(body)
+
     def test_the_way_to_the_caller_is_known_from_the_connection(self):
         async def body(node, listener, stream):
             ways: list[float] = []
