--- a/tests/soak/configs.py
+++ b/tests/soak/configs.py
@@ -83,6 +83,7 @@
             {**COMMON, "name": "g", "prefix": "/g/", **gather},
             {**COMMON, "name": "p", "prefix": "/p/", "service": PLAIN},
             {**COMMON, "name": "o", "prefix": "/o/", "service": PLAIN, "type": "unsafe"},
+            {**COMMON, "name": "w", "prefix": "/w/", "service": PLAIN, "timeout_ms": 10_000},
         ]
         for route in self.added:
             if not route.dropped_by:
--- a/tests/soak/leaf.py
+++ b/tests/soak/leaf.py
@@ -26,6 +26,8 @@
 LAPSE_S = 3.0 * HEARTBEAT_S
 RECORDS = 6
 QUEUE = 8
+# Requests that say how long they take, in milliseconds, at the end of their path.
+TIMED = "/w/"
 # A request that ends each leaf that runs it.
 KILLER = "/p/killer"
 
@@ -146,9 +148,14 @@
                 self.on_killer(self, request)
                 return None
             factor = 8.0 if self.fault == "slow" else 1.0
-            await trio.sleep(factor * self.work_s * self._rng.lognormvariate(0.0, 0.3))
+            await trio.sleep(factor * self._work_s(req))
         return await self._answer(conn, req, request)
 
+    def _work_s(self, req: Request) -> float:
+        if req.path.startswith(TIMED):
+            return float(req.path.removeprefix(TIMED)) / 1000.0
+        return self.work_s * self._rng.lognormvariate(0.0, 0.3)
+
     async def _answer(self, conn: Connection, req: Request, request: str) -> Response | None:
         unlucky = self._rng.random() < 0.4
         if self.fault == "errors" and unlucky:
--- /dev/null
+++ b/tests/soak/stops.py
@@ -0,0 +1,301 @@
+"""Planned stops of real nodes: signals as the platform sends them, callers that go on, and the record.
+
+Callers don't ask the balancer, as where it has no other node of their failure domain: they send requests to
+a node until its process is gone. Between a caller and its node may stand a line with a delay one way.
+"""
+
+from __future__ import annotations
+
+import signal
+
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+import h11
+import trio
+
+from tests.soak.nodes import CALLER_PORT
+
+if TYPE_CHECKING:
+    import random
+
+    from tests.soak.nodes import NodeProcess
+    from tests.soak.run import Soak
+
+HOST = "soak.example"
+READ_BYTES = 65536
+CONNECT_S = 1.0
+QUOTA_PERIOD_S = 0.1
+GONE_POLL_S = 0.01
+GONE = (trio.BrokenResourceError, trio.ClosedResourceError, h11.RemoteProtocolError, OSError)
+
+
+class Sent(NamedTuple):
+    """One request as its caller saw it; status 0: its connection ended without a whole answer.
+
+    `status` is -1 if no connection was opened, and -2 if the caller gave up. `reused` tells that the
+    connection had carried a request before.
+    """
+
+    request: str
+    node: str
+    path: str
+    sent_at: float
+    ended_at: float
+    status: int
+    reused: bool
+
+
+class Stop(NamedTuple):
+    """A planned stop: when its signal was sent, how long the process ran on, and its exit status."""
+
+    node: str
+    asked_at: float
+    gone_s: float
+    killed: bool
+    status: int
+
+
+class DelayLine:
+    """A proxy before one node that passes bytes and ends of streams on after a delay one way."""
+
+    def __init__(self, *, target: tuple[str, int], delay_s: float) -> None:
+        self._target = target
+        self._delay_s = delay_s
+        self.address = ("", 0)
+
+    async def listen(self, nursery: trio.Nursery) -> None:
+        listeners = await trio.open_tcp_listeners(0, host=self._target[0])
+        self.address = listeners[0].socket.getsockname()[:2]
+        nursery.start_soon(lambda: trio.serve_listeners(self._carry, listeners))
+
+    async def _carry(self, near: trio.SocketStream) -> None:
+        await trio.sleep(self._delay_s)
+        try:
+            far = await trio.open_tcp_stream(*self._target)
+        except OSError:
+            await trio.aclose_forcefully(near)
+            return
+        for stream in (near, far):
+            stream.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY, 1)
+        async with near, far, trio.open_nursery() as nursery:
+            nursery.start_soon(self._pass_on, near, far, nursery)
+            nursery.start_soon(self._pass_on, far, near, nursery)
+
+    async def _pass_on(
+        self, source: trio.SocketStream, sink: trio.SocketStream, nursery: trio.Nursery
+    ) -> None:
+        send, receive = trio.open_memory_channel[tuple[float, bytes | None]](1000)
+        nursery.start_soon(self._deliver, receive, sink)
+        data: bytes | None = b"first"
+        while data:
+            try:
+                data = await source.receive_some(READ_BYTES)
+            except GONE:
+                data = None
+            await send.send((trio.current_time() + self._delay_s, data))
+
+    async def _deliver(
+        self,
+        receive: trio.MemoryReceiveChannel[tuple[float, bytes | None]],
+        sink: trio.SocketStream,
+    ) -> None:
+        while True:
+            due, data = await receive.receive()
+            await trio.sleep_until(due)
+            try:
+                if data:
+                    await sink.send_all(data)
+                    continue
+                if data is None:
+                    await trio.aclose_forcefully(sink)
+                else:
+                    await sink.send_eof()
+            except GONE:
+                pass
+            return
+
+
+class Record:
+    """What callers and the operator saw."""
+
+    def __init__(self, *, soak: Soak) -> None:
+        self.soak = soak
+        self.sent: list[Sent] = []
+        self.stops: list[Stop] = []
+
+    def reached_leaves(self) -> set[str]:
+        """Return the requests that arrived at a leaf."""
+        arrivals = self.soak.ledger.arrivals.values()
+        return {request for service in arrivals for _, request in service}
+
+    def unanswered(self) -> list[Sent]:
+        """Return the requests sent during planned stops whose connections ended without an answer."""
+        return [sent for sent in self.sent if sent.status == 0 and self._is_in_stop(sent)]
+
+    def _is_in_stop(self, sent: Sent) -> bool:
+        """Return whether a request ended between the signal of a stop and the end of the process."""
+        return any(
+            stop.node == sent.node
+            and stop.asked_at < sent.ended_at
+            and sent.sent_at < stop.asked_at + stop.gone_s
+            for stop in self.stops
+        )
+
+    def cut_at_leaves(self) -> list[Sent]:
+        """Return the requests that a leaf had when their connections ended without an answer."""
+        reached = self.reached_leaves()
+        return [sent for sent in self.unanswered() if sent.request in reached]
+
+    def killed(self) -> list[Stop]:
+        return [stop for stop in self.stops if stop.killed]
+
+    def ended_by_signal(self) -> list[Stop]:
+        return [stop for stop in self.stops if stop.status < 0 and not stop.killed]
+
+    def dropped_lines(self) -> list[str]:
+        """Return the log lines of nodes that read requests and dropped them while they were stopping."""
+        lines = [line for node in self.soak.nodes for line in node.log.read_text().splitlines()]
+        return [
+            line for line in lines if '"requests_dropped"' in line and '"stopping":true' in line
+        ]
+
+
+class StopCaller:
+    """One caller of one node: a request after another until it is told to end.
+
+    With `kept` it reuses its connection while it may, else it opens one for each request.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        node: NodeProcess,
+        record: Record,
+        kept: bool,
+        address: tuple[str, int] | None = None,
+    ) -> None:
+        self._name = name
+        self._node = node
+        self._record = record
+        self._kept = kept
+        self._address = address or (node.ip, CALLER_PORT)
+        self._count = 0
+        self._stream: trio.SocketStream | None = None
+        self._http = h11.Connection(h11.CLIENT)
+        self._used = False
+
+    async def ask(self, path: str, deadline_s: float) -> Sent:
+        """Send one request, and note what came of it."""
+        self._count += 1
+        request = f"{self._name}-{self._count}"
+        began_at = trio.current_time()
+        if self._stream is None and not await self._connect():
+            return self._note(request, path, began_at, -1)
+        sent_at = trio.current_time()
+        status = -2
+        try:
+            with trio.move_on_after(deadline_s + 1.0):
+                status = await self._exchange(request, path, deadline_s)
+        except GONE:
+            status = 0
+        sent = self._note(request, path, sent_at, status)
+        is_done = self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
+        if self._kept and status > 0 and is_done:
+            self._http.start_next_cycle()
+            self._used = True
+        else:
+            await self._drop()
+        return sent
+
+    def _note(self, request: str, path: str, sent_at: float, status: int) -> Sent:
+        ended_at = trio.current_time()
+        sent = Sent(request, self._node.name, path, sent_at, ended_at, status, self._used)
+        self._record.sent.append(sent)
+        return sent
+
+    async def _connect(self) -> bool:
+        try:
+            with trio.fail_after(CONNECT_S):
+                self._stream = await trio.open_tcp_stream(*self._address)
+        except (OSError, trio.TooSlowError):
+            return False
+        self._http = h11.Connection(h11.CLIENT)
+        self._used = False
+        return True
+
+    async def _drop(self) -> None:
+        if self._stream is not None:
+            await trio.aclose_forcefully(self._stream)
+        self._stream = None
+
+    async def _exchange(self, request: str, path: str, deadline_s: float) -> int:
+        assert self._stream is not None
+        headers = [
+            ("Host", HOST),
+            ("Request-Id", request),
+            ("Deadline-Ms", str(int(deadline_s * 1000))),
+        ]
+        head = h11.Request(method="GET", target=path, headers=headers)
+        parts = [self._http.send(head), self._http.send(h11.EndOfMessage())]
+        await self._stream.send_all(b"".join(part or b"" for part in parts))
+        status = 0
+        while True:
+            event = self._http.next_event()
+            if event is h11.NEED_DATA:
+                self._http.receive_data(await self._stream.receive_some(READ_BYTES))
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+            elif isinstance(event, h11.EndOfMessage):
+                return status
+            elif isinstance(event, h11.ConnectionClosed):
+                return 0
+
+
+async def keep_asking(
+    caller: StopCaller, per_s: float, works_ms: tuple[float, float], rng: random.Random
+) -> None:
+    """Send requests with random pauses, each with a work time drawn from a range, until cancelled."""
+    while True:
+        await trio.sleep(rng.expovariate(per_s))
+        work_ms = rng.uniform(*works_ms)
+        await caller.ask(f"/w/{work_ms:.0f}", 8.0)
+
+
+async def stop(
+    node: NodeProcess, record: Record, grace_s: float, signals: int = 1, apart_s: float = 0.0
+) -> Stop:
+    """Stop a node as the platform does: SIGTERM (`signals` of them), and SIGKILL after the grace period."""
+    assert node.child is not None
+    asked_at = trio.current_time()
+    node.stopping_since = asked_at
+    node.signal(signal.SIGTERM)
+    sent = 1
+    while node.is_running() and trio.current_time() - asked_at < grace_s:
+        await trio.sleep(apart_s if sent < signals else GONE_POLL_S)
+        if sent < signals:
+            sent += 1
+            node.signal(signal.SIGTERM)
+    killed = node.is_running()
+    if killed:
+        node.signal(signal.SIGKILL)
+        node.child.wait()
+    gone_s = trio.current_time() - asked_at
+    done = Stop(node.name, asked_at, gone_s, killed, node.child.returncode)
+    record.stops.append(done)
+    return done
+
+
+async def throttle(node: NodeProcess, share: float) -> None:
+    """Give a node's process a share of the processor, as a quota in each tenth of a second, until cancelled."""
+    child = node.child
+    assert child is not None
+    try:
+        while child.poll() is None:
+            child.send_signal(signal.SIGCONT)
+            await trio.sleep(share * QUOTA_PERIOD_S)
+            child.send_signal(signal.SIGSTOP)
+            await trio.sleep((1.0 - share) * QUOTA_PERIOD_S)
+    finally:
+        child.send_signal(signal.SIGCONT)
--- /dev/null
+++ b/tests/soak/test_stops.py
@@ -0,0 +1,194 @@
+"""Planned stops over real nodes whose callers go on until the process is gone."""
+
+from __future__ import annotations
+
+import random
+import signal
+import tempfile
+import unittest
+
+from pathlib import Path
+from typing import TYPE_CHECKING
+from typing import Any
+
+import trio
+
+from tests.soak.nodes import CALLER_PORT
+from tests.soak.nodes import GRACE_S
+from tests.soak.run import Options
+from tests.soak.run import Soak
+from tests.soak.stops import DelayLine
+from tests.soak.stops import Record
+from tests.soak.stops import StopCaller
+from tests.soak.stops import keep_asking
+from tests.soak.stops import stop
+from tests.soak.stops import throttle
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+SEED = 36
+NODES = 3
+LOADED_S = 3.0
+STEADY_S = 2.0
+NOTICED_S = 0.3
+# Callers of the node under test, the rate of each, and the range of their requests' work times.
+CALLERS = 24
+CALLER_PER_S = 5.0
+WORKS_MS = (100.0, 400.0)
+# Share of the processor of a node on a busy host.
+BUSY_SHARE = 0.3
+SLOW_LINE_S = 0.13
+
+
+class World:
+    """The nodes under test, and callers of the first one."""
+
+    def __init__(self, *, soak: Soak, nursery: trio.Nursery) -> None:
+        self.soak = soak
+        self.nursery = nursery
+        self.record = Record(soak=soak)
+        self.node = soak.nodes[0]
+        self._callers = 0
+
+    def add_callers(
+        self, count: int, per_s: float, works_ms: tuple[float, float], *, kept: bool
+    ) -> None:
+        for _ in range(count):
+            self._start(self._caller(kept), per_s, works_ms)
+
+    async def add_distant_callers(
+        self, count: int, per_s: float, works_ms: tuple[float, float]
+    ) -> None:
+        """Add callers that keep their connections, each behind a slow line of its own."""
+        for _ in range(count):
+            line = DelayLine(target=(self.node.ip, CALLER_PORT), delay_s=SLOW_LINE_S)
+            await line.listen(self.nursery)
+            self._start(self._caller(True, line.address), per_s, works_ms)
+
+    def _caller(self, kept: bool, address: tuple[str, int] | None = None) -> StopCaller:
+        self._callers += 1
+        return StopCaller(
+            name=f"c{self._callers}",
+            node=self.node,
+            record=self.record,
+            kept=kept,
+            address=address,
+        )
+
+    def _start(self, caller: StopCaller, per_s: float, works_ms: tuple[float, float]) -> None:
+        rng = random.Random(f"{SEED} {self._callers}")
+        self.nursery.start_soon(keep_asking, caller, per_s, works_ms, rng)
+
+    async def load_again(self) -> None:
+        """Kill the node; return when its next process listens, and still loads on its small share."""
+        starts = self.node.starts
+        self.node.signal(signal.SIGKILL)
+        while self.node.starts == starts:
+            await trio.sleep(0.005)
+        self.nursery.start_soon(throttle, self.node, BUSY_SHARE)
+        while not await self._listens():
+            await trio.sleep(0.01)
+
+    async def _listens(self) -> bool:
+        try:
+            stream = await trio.open_tcp_stream(self.node.ip, CALLER_PORT)
+        except OSError:
+            return False
+        await stream.aclose()
+        return True
+
+    async def stop(self, grace_s: float = GRACE_S, **changes: Any) -> None:
+        """Stop the node, and wait until its callers have seen its end."""
+        await stop(self.node, self.record, grace_s, **changes)
+        await trio.sleep(NOTICED_S)
+
+
+class StopsTest(unittest.TestCase):
+    def run_world(self, body: Callable[[World], Awaitable[None]]) -> None:
+        async def main(folder: Path) -> None:
+            options = Options(SEED, 0.0, nodes=NODES, callers=0, folder=folder)
+            async with trio.open_nursery() as nursery:
+                soak = Soak(options=options, nursery=nursery)
+                try:
+                    await soak.start()
+                    await trio.sleep(LOADED_S)
+                    await body(World(soak=soak, nursery=nursery))
+                    broken = [line for node in soak.nodes for line in node.faults_logged()]
+                    self.assertEqual(soak.ledger.broken + broken, [])
+                finally:
+                    for node in soak.nodes:
+                        node.end()
+                    nursery.cancel_scope.cancel()
+
+        with tempfile.TemporaryDirectory() as folder:
+            trio.run(main, Path(folder))
+
+    def check(self, world: World) -> None:
+        record = world.record
+        found = {
+            "killed": len(record.killed()),
+            "ended by a signal": len(record.ended_by_signal()),
+            "cut at leaves": len(record.cut_at_leaves()),
+            "read and dropped": len(record.dropped_lines()),
+        }
+        self.assertEqual(found, dict.fromkeys(found, 0), record.stops)
+
+    def test_requests_at_leaves_are_cut_by_the_kill_as_callers_keep_coming(self) -> None:
+        async def body(world: World) -> None:
+            world.add_callers(CALLERS, CALLER_PER_S, WORKS_MS, kept=False)
+            await trio.sleep(STEADY_S)
+            await world.stop()
+            self.check(world)
+
+        self.run_world(body)
+
+    def test_requests_at_leaves_are_cut_as_the_stop_was_asked_while_the_process_loaded(
+        self,
+    ) -> None:
+        async def body(world: World) -> None:
+            world.add_callers(CALLERS // 2, CALLER_PER_S, WORKS_MS, kept=True)
+            world.add_callers(CALLERS // 2, CALLER_PER_S, WORKS_MS, kept=False)
+            await trio.sleep(STEADY_S)
+            await world.load_again()
+            await world.stop()
+            self.check(world)
+
+        self.run_world(body)
+
+    def test_requests_on_slow_lines_are_read_and_dropped_as_their_connections_close(self) -> None:
+        async def body(world: World) -> None:
+            await world.add_distant_callers(30, 4.0, (2.0, 20.0))
+            await trio.sleep(STEADY_S)
+            await world.stop()
+            self.check(world)
+
+        self.run_world(body)
+
+    def test_a_second_signal_in_the_last_moments_ends_the_process(self) -> None:
+        async def body(world: World) -> None:
+            world.add_callers(4, 3.0, (20.0, 50.0), kept=True)
+            await trio.sleep(STEADY_S)
+            await world.stop(signals=1_000_000, apart_s=0.001)
+            self.check(world)
+
+        self.run_world(body)
+
+    def test_requests_at_leaves_are_cut_as_the_settings_have_shortened_the_grace_period(
+        self,
+    ) -> None:
+        async def body(world: World) -> None:
+            shorter_s = 0.6 * GRACE_S
+            world.add_callers(CALLERS, CALLER_PER_S, WORKS_MS, kept=False)
+            world.node.write_settings(grace_s=shorter_s)
+            world.node.signal(signal.SIGHUP)
+            await trio.sleep(STEADY_S)
+            await world.stop(shorter_s)
+            self.check(world)
+
+        self.run_world(body)
+
+
+if __name__ == "__main__":
+    unittest.main()
