A stop ends in time while requests keep coming

Cause: at the end of its grace period a node gave up the open requests ten times a second, let in the next ones, and exited only in a turn that had nothing to give up. With callers that keep coming, as where the balancer has too few other nodes of their failure domain, there is no such turn: the process was killed with requests at leaves. Why this works: each step of a stop has a time that does not depend on callers. A second before the end of the grace period (a quarter of a short one) open requests get their final answer, searches with enough parts the answer that they have; what comes later is refused at once. Requests that come before and most likely outlast the node (twice their expected time) are refused at once too, with the time to come back; queries end by then at the latest, so leaves get no longer deadlines. Requests that wait for the table or for a permit get their answer as well.

A test changed: test_a_stop_that_drops_requests_is_detected asks before the stop, as a query that begins later is bounded by its own deadline as well; the invariant and the disabled step are the same.

--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/loading.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/loading.py
@@ -29,6 +29,9 @@
     def __init__(self) -> None:
         self._pending: list[PendingRequest] = []
 
+    def __len__(self) -> int:
+        return len(self._pending)
+
     def add(self, request: CallerRequest, now: float) -> bool:
         """Add a request; return False if too many are waiting."""
         if len(self._pending) >= MAX_PENDING:
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/reduce.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/reduce.py
@@ -7,8 +7,6 @@
 
 from cactussaddle_core.edge import events as ev
 from cactussaddle_core.edge import logevents as log
-from cactussaddle_core.edge.effects import CloseIdle
-from cactussaddle_core.edge.effects import EndProcess
 from cactussaddle_core.edge.effects import KeepConnections
 from cactussaddle_core.edge.effects import LogEvent
 from cactussaddle_core.edge.effects import OwnEntryGone
@@ -28,7 +26,10 @@
 from cactussaddle_core.edge.rolling import rollout_ordered
 from cactussaddle_core.edge.rolling import rollout_status_seen
 from cactussaddle_core.edge.rolling import rollouts_listed
+from cactussaddle_core.edge.shutdown import advance_stop
+from cactussaddle_core.edge.shutdown import stop_asked
 from cactussaddle_core.edge.starting import decline_not_loaded
+from cactussaddle_core.edge.starting import decline_stopping
 from cactussaddle_core.edge.starting import start_request
 from cactussaddle_core.edge.state import HOUSEKEEPING_S
 from cactussaddle_core.edge.trying import advance_trials
@@ -40,8 +41,6 @@
 from cactussaddle_core.fanout.effects import ProbeLeaf
 from cactussaddle_core.fleet.probing import apply_probe_result
 from cactussaddle_core.fleet.probing import due_probes
-from cactussaddle_core.invariants import Promise
-from cactussaddle_core.invariants import require
 from cactussaddle_core.spread.tree import tree_position
 
 if TYPE_CHECKING:
@@ -60,6 +59,8 @@
 
 def _request_arrived(state: EdgeState, event: ev.RequestArrived, now: float) -> list[Effect]:
     state.traffic.own.count(now)
+    if state.stopping.must_give_up(now):
+        return [decline_stopping(event.request)]
     if state.is_loaded():
         return start_request(state, event.request, now, now)
     if not state.store_lost_at_start and state.pending_requests.add(event.request, now):
@@ -259,12 +260,6 @@
     return []
 
 
-def _stop_asked(state: EdgeState, event: ev.StopAsked, now: float) -> list[Effect]:
-    state.stopping.request(event.grace_s, now)
-    uptime_s = round(now - state.started_at, 2)
-    return [LogEvent(log.StopAsked(event.grace_s, len(state.fanout.queries), uptime_s))]
-
-
 def _tick(state: EdgeState, event: ev.Tick, now: float) -> list[Effect]:
     state.fanout.loop_lag.record_lag(event.late_s, now)
     effects: list[Effect] = [*fanout.tick(state.fanout, now)]
@@ -286,7 +281,7 @@
     effects += advance_trials(state, now)
     effects += send_messages(state, now)
     effects += advance_rollouts(state, now)
-    return effects + _advance_stop(state, now)
+    return effects + advance_stop(state, now)
 
 
 def _sweep(state: EdgeState, now: float) -> list[Effect]:
@@ -297,36 +292,6 @@
     return [LogEvent(log.LeavesDropped(tuple(leaf.name for leaf in dropped)))]
 
 
-def _advance_stop(state: EdgeState, now: float) -> list[Effect]:
-    effects: list[Effect] = []
-    if state.stopping.take_progress_due(now):
-        effects.append(LogEvent(_stop_progress(state, now)))
-    if not state.stopping.is_closing(now):
-        return effects
-    return effects + _close_or_exit(state, now)
-
-
-def _stop_progress(state: EdgeState, now: float) -> log.StopProgress:
-    queries = state.fanout.queries.values()
-    oldest = [query.request.request_id for query in queries][: log.MAX_LOGGED_REQUESTS]
-    stopping = state.stopping
-    since_s = round(now - stopping.asked_at, 2)
-    return log.StopProgress(since_s, stopping.phase(now).value, len(queries), tuple(oldest))
-
-
-def _close_or_exit(state: EdgeState, now: float) -> list[Effect]:
-    effects: list[Effect] = []
-    if state.stopping.must_give_up(now):
-        effects += fanout.give_up(state.fanout, now)
-    requests = len(state.fanout.queries) + state.crashes.trials.applicants()
-    if not effects and state.stopping.may_exit(requests, now):
-        require(
-            requests == 0, Promise.GRACEFUL_STOP, f"shutdown would abort {requests} open requests"
-        )
-        return [CloseIdle(), EndProcess(state.stopping.grace_expired(now))]
-    return [*effects, CloseIdle()]
-
-
 def _keep_connections(state: EdgeState, now: float) -> list[Effect]:
     table = state.current_table.table
     if table is None or not state.connections_changed:
@@ -378,6 +343,6 @@
     ev.StoreLost: _store_lost,
     ev.StoreBack: _store_back,
     ev.RulesChanged: _rules_changed,
-    ev.StopAsked: _stop_asked,
+    ev.StopAsked: stop_asked,
     ev.Tick: _tick,
 }
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/starting.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/starting.py
@@ -6,6 +6,8 @@
 
 from cactussaddle_core.codes import ResultCode
 from cactussaddle_core.fanout import reduce as fanout
+from cactussaddle_core.fanout.admit import STOPPING
+from cactussaddle_core.fanout.admit import STOPPING_RETRY_S
 from cactussaddle_core.fanout.effects import Declined
 
 if TYPE_CHECKING:
@@ -74,6 +76,11 @@
     return _decline(request, ResultCode.NOT_CONFIGURED, NOT_LOADED, NOT_READY_RETRY_S)
 
 
+def decline_stopping(request: CallerRequest) -> Declined:
+    """Decline a request that this node can't serve before it exits."""
+    return _decline(request, ResultCode.NOT_RUN, STOPPING, STOPPING_RETRY_S)
+
+
 def decline_held(request: CallerRequest, retry_after_s: float) -> Declined:
     """Decline a request that may run only as a trial."""
     message = "leaves went down under this request"
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/stopping.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/stopping.py
@@ -1,4 +1,8 @@
-"""Graceful shutdown: leave the load balancer, keep serving, and exit before the grace period ends."""
+"""Deadlines of a graceful shutdown: leave the load balancer, serve on, and exit within the grace period.
+
+Each deadline holds whatever callers do. The load balancer goes on sending callers to a stopping node
+if it has too few others, so the node must not wait for them to stay away.
+"""
 
 from __future__ import annotations
 
@@ -7,12 +11,14 @@
 
 # The load balancer checks readiness every second and drops a node after two failures.
 BALANCER_DRAIN_S = 2.6
-# The process exits this long before it would be killed.
-EXIT_MARGIN_S = 0.7
-# Requests still open this long before the exit get a final answer, which takes a moment to send.
-ABORT_MARGIN_S = 0.15
-
-
+# Open requests get a final answer this long before the end of the grace period, and later ones are
+# refused; no more than this fraction of a short grace period.
+GIVE_UP_MARGIN_S = 1.0
+MAX_GIVE_UP_FRACTION = 0.25
+# From then on, the fraction of the remaining time after which connections that are still in use end,
+# and the one after which the process exits.
+CLOSE_FRACTION = 0.25
+EXIT_FRACTION = 0.5
 # Interval of the log lines that tell of the progress.
 PROGRESS_INTERVAL_S = 0.5
 
@@ -26,30 +32,59 @@
 
 
 class GracefulStop:
-    """The deadlines of a shutdown; all are infinite until one is requested."""
+    """The deadlines of a shutdown; all are infinite until one is requested.
+
+    From `close_at` on callers are sent to other nodes as their connections become idle. At `give_up_at`
+    open requests get a final answer, at `end_at` all connections end, and at `exit_at` the process
+    exits.
+    """
 
     def __init__(self) -> None:
-        self.asked = False
         self.asked_at = math.inf
-        self.progress_at = math.inf
         self.close_at = math.inf
+        self.give_up_at = math.inf
         self.end_at = math.inf
+        self.exit_at = math.inf
+        self._progress_at = math.inf
+
+    @property
+    def asked(self) -> bool:
+        """Whether a shutdown was requested."""
+        return math.isfinite(self.asked_at)
 
     def request(self, grace_s: float, now: float) -> None:
         """Start the shutdown; later requests have no effect."""
         if self.asked:
             return
-        self.asked = True
         self.asked_at = now
-        self.progress_at = now + PROGRESS_INTERVAL_S
+        self._progress_at = now + PROGRESS_INTERVAL_S
+        margin_s = min(GIVE_UP_MARGIN_S, MAX_GIVE_UP_FRACTION * grace_s)
         self.close_at = now + min(BALANCER_DRAIN_S, grace_s / 2.0)
-        self.end_at = now + max(0.0, grace_s - EXIT_MARGIN_S)
+        self.give_up_at = now + grace_s - margin_s
+        self.end_at = self.give_up_at + CLOSE_FRACTION * margin_s
+        self.exit_at = self.give_up_at + EXIT_FRACTION * margin_s
+
+    def is_closing(self, now: float) -> bool:
+        """Return whether callers are to be sent to other nodes."""
+        return now >= self.close_at
+
+    def must_give_up(self, now: float) -> bool:
+        """Return whether open requests must be given up, and new ones refused."""
+        return now >= self.give_up_at
+
+    def must_end(self, now: float) -> bool:
+        """Return whether connections must end that are still in use."""
+        return now >= self.end_at
+
+    def may_exit(self, requests: int, now: float) -> bool:
+        """Return whether the process may exit once its connections have ended."""
+        return self.is_closing(now) and (requests == 0 or self.must_end(now))
 
     def take_progress_due(self, now: float) -> bool:
         """Return whether a line about the progress is due, once an interval."""
-        if now < self.progress_at:
+        if now < self._progress_at:
             return False
-        self.progress_at = now + PROGRESS_INTERVAL_S
+        self._progress_at = now + PROGRESS_INTERVAL_S
         return True
 
     def phase(self, now: float) -> StopPhase:
@@ -57,19 +92,3 @@
         if self.must_give_up(now):
             return StopPhase.GIVING_UP
         return StopPhase.CLOSING if self.is_closing(now) else StopPhase.SERVING
-
-    def is_closing(self, now: float) -> bool:
-        """Return whether callers are to be sent to other nodes."""
-        return now >= self.close_at
-
-    def must_give_up(self, now: float) -> bool:
-        """Return whether open requests must be given up."""
-        return now >= self.end_at - ABORT_MARGIN_S
-
-    def may_exit(self, requests: int, now: float) -> bool:
-        """Return whether the process may exit: no requests are open, or the grace period is over."""
-        return self.is_closing(now) and (requests == 0 or self.grace_expired(now))
-
-    def grace_expired(self, now: float) -> bool:
-        """Return whether the process must exit regardless of open requests."""
-        return now >= self.end_at
--- a/packages/cactussaddle-core/src/cactussaddle_core/fanout/admit.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/admit.py
@@ -32,6 +32,13 @@
 RETRY_JITTER = 0.25
 
 
+# While the node shuts down, a query is started only if this multiple of its expected time is left.
+STOP_TIME_FACTOR = 2.0
+# Retry delay for callers of a node that shuts down; the load balancer has others.
+STOPPING_RETRY_S = 0.1
+STOPPING = "node is shutting down"
+
+
 class Refusal(NamedTuple):
     """Why a query was not started, and the delay after which its caller may retry."""
 
@@ -48,6 +55,8 @@
         shortfall = query.needed() - servable
         retry_s = max(NO_LEAF_RETRY_S, _pause_left_s(state, query, shortfall, now))
         return Refusal(reason, with_jitter(state, retry_s))
+    if _outlasts_node(state, query, now):
+        return Refusal(STOPPING, with_jitter(state, STOPPING_RETRY_S))
     if not query.gathers:
         return None
     remaining_s = query.answer_by - now
@@ -61,6 +70,21 @@
     return Refusal(reason, with_jitter(state, min(max(over_s, MIN_RETRY_S), MAX_RETRY_S)))
 
 
+def _outlasts_node(state: FanoutState, query: Query, now: float) -> bool:
+    """Return whether the node most likely exits before the query could be answered."""
+    if math.isinf(state.give_up_at):
+        return False
+    times = sorted(_best_time_s(state, part, now) for part in query.parts)
+    return now + STOP_TIME_FACTOR * times[query.needed() - 1] > state.give_up_at
+
+
+def _best_time_s(state: FanoutState, part: Part, now: float) -> float:
+    """Return the expected time of a part at its best leaf, in seconds; infinity if no leaf is available."""
+    route = part.query.route
+    times = (expected_s(state, route, leaf, now) for leaf in candidates(state, part, now))
+    return min(times, default=math.inf)
+
+
 def _pause_left_s(state: FanoutState, query: Query, shortfall: int, now: float) -> float:
     """Return the time until enough services have a leaf again that does not ask for a pause; 0 if none does."""
     ends = []
--- a/packages/cactussaddle-core/src/cactussaddle_core/fanout/finish.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/finish.py
@@ -64,7 +64,7 @@
     if not ran:
         require_not_run(query)
         code = ResultCode.NOT_RUN
-    elif now >= query.deadline:
+    elif query.deadline <= now < state.give_up_at:
         code = ResultCode.DEADLINE_EXCEEDED
     elif query.route.idempotent:
         code = ResultCode.INSUFFICIENT_COVERAGE
--- a/packages/cactussaddle-core/src/cactussaddle_core/fanout/reduce.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/reduce.py
@@ -7,11 +7,13 @@
 from typing import TYPE_CHECKING
 
 from cactussaddle_core.codes import ResultCode
+from cactussaddle_core.fanout.admit import STOPPING
 from cactussaddle_core.fanout.admit import refusal
 from cactussaddle_core.fanout.choose import cost_s
 from cactussaddle_core.fanout.effects import Declined
 from cactussaddle_core.fanout.estimate import queue_rounds
 from cactussaddle_core.fanout.evidence import record_call_end
+from cactussaddle_core.fanout.finish import answer
 from cactussaddle_core.fanout.finish import decline
 from cactussaddle_core.fanout.finish import finish_if_settled
 from cactussaddle_core.fanout.hedging import hedge
@@ -67,6 +69,7 @@
     """
     arrived_at = now - waited_s
     deadline = arrived_at + min(request.timeout_s, route.timeout_s) - DEADLINE_MARGIN_S
+    deadline = min(deadline, state.give_up_at)
     lag_s = min(state.loop_lag.lag_s(now), MAX_LAG_FRACTION * route.objective_s)
     margin_s = request.caller_rtt_s + ANSWER_MARGIN_S + lag_s
     answer_by = min(deadline, arrived_at + route.objective_s - margin_s)
@@ -158,10 +161,13 @@
 
 
 def give_up(state: FanoutState, now: float) -> list[FanoutEffect]:
-    """Answer all queries without a result, because the process exits."""
+    """Answer all queries because the process exits, those with enough parts with what they have."""
     effects: list[FanoutEffect] = []
     for query in list(state.queries.values()):
-        effects += decline(state, query, "node is shutting down", now)
+        if query.answered() >= query.needed():
+            effects += answer(state, query, now)
+        else:
+            effects += decline(state, query, STOPPING, now)
     return effects
 
 
@@ -184,7 +190,8 @@
     if now >= query.deadline:
         if query.answered() >= query.needed():
             return finish_if_settled(state, query, now)
-        return decline(state, query, "deadline exceeded", now)
+        is_stopping = now >= state.give_up_at
+        return decline(state, query, STOPPING if is_stopping else "deadline exceeded", now)
     effects: list[FanoutEffect] = []
     for part in list(query.unanswered):
         if now >= part.retry_at:
--- a/packages/cactussaddle-core/src/cactussaddle_core/fanout/state.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/state.py
@@ -221,7 +221,8 @@
 
     `may_call(leaf, now)` returns whether a new call may be sent to a leaf. `cold_calls(leaf, now)` returns
     how many calls per second this node may send to a leaf while it is cold. `ran_well(fingerprint,
-    leaf, now)` is called for each request that a leaf completed successfully.
+    leaf, now)` is called for each request that a leaf completed successfully. Queries end at `give_up_at`
+    at the latest, as the process exits.
     """
 
     def __init__(
@@ -250,6 +251,7 @@
         self.rng = random.Random(seed)
         self.queries: dict[int, Query] = {}
         self.calls: dict[int, Call] = {}
+        self.give_up_at = math.inf
         self._timers: list[tuple[float, int]] = []
         self._next_call_id = 0
 
--- a/packages/cactussaddle-core/src/cactussaddle_core/hold/trials.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/hold/trials.py
@@ -198,15 +198,23 @@
 
     def take_overdue(self, now: float) -> list[CallerRequest]:
         """Remove and return the requests that have waited too long for the store."""
-        overdue = [
-            applicant
-            for applicant in self._applicants.values()
-            if now - applicant.arrived_at >= PERMIT_TIMEOUT_S
-        ]
-        for applicant in overdue:
+        return self._take(
+            [
+                applicant
+                for applicant in self._applicants.values()
+                if now - applicant.arrived_at >= PERMIT_TIMEOUT_S
+            ]
+        )
+
+    def take_all(self) -> list[CallerRequest]:
+        """Remove and return all requests that wait for the store."""
+        return self._take(list(self._applicants.values()))
+
+    def _take(self, applicants: list[_Applicant]) -> list[CallerRequest]:
+        for applicant in applicants:
             del self._applicants[applicant.request.fingerprint]
             self._leave_unused(applicant.record)
-        return [applicant.request for applicant in overdue]
+        return [applicant.request for applicant in applicants]
 
     def conclude(self, open_requests: Iterable[int], now: float) -> list[TrialEnded]:
         """End the trials whose queries are answered; return their outcomes."""
--- a/tests/core/fanout/test_promises.py
+++ b/tests/core/fanout/test_promises.py
@@ -93,9 +93,9 @@
     def test_a_stop_that_drops_requests_is_detected(self) -> None:
         for domain in DOMAINS:
             self.world.behaviors[leaf_name("orders", domain)] = unresponsive
+        self.world.ask(b"/o/x", timeout_s=6.0)
         self.world.feed(ev.StopAsked(4.0))
         self.world.run(1.0)
-        self.world.ask(b"/o/x", timeout_s=6.0)
         self.world.state.stopping.must_give_up = lambda now: False  # type: ignore[method-assign]
         with self.assertRaisesRegex(InvariantError, "graceful-stop"):
             self.world.run(5.0)
