The clock of a stop starts when its signal was sent, not when the process handles it

Cause: a signal that arrived while the process loaded waited for the event loop, and the whole grace period was counted from there; likewise one sent while the process did not run. The node served on after it was to be killed. Why this works: the inbox has the time of each signal's arrival, and a signal may have been sent at any time since the last tick, which is what counts if the process was not running. stop_asked logs it as ago_s.

tests.core.edge.test_stopping, four tests of it; they need the new field, so none could run before.

--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/events.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/events.py
@@ -249,9 +249,10 @@
 
 
 class StopAsked(NamedTuple):
-    """The process must exit within `grace_s`."""
+    """The process must exit within `grace_s` of the request, which was made `ago_s` ago at most."""
 
     grace_s: float
+    ago_s: float = 0.0
 
 
 class Tick(NamedTuple):
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/logevents.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/logevents.py
@@ -33,9 +33,10 @@
 
 
 class StopAsked(NamedTuple):
-    """The platform has asked the process to stop, which has run for `uptime_s`."""
+    """The platform has asked the process to stop, `ago_s` ago at most; it has run for `uptime_s`."""
 
     grace_s: float
+    ago_s: float
     requests: int
     uptime_s: float
 
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/shutdown.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/shutdown.py
@@ -23,10 +23,11 @@
     """Begin a shutdown; another request to stop changes nothing."""
     if state.stopping.asked:
         return []
-    state.stopping.request(event.grace_s, now)
+    state.stopping.request(event.grace_s, now - event.ago_s)
     state.fanout.give_up_at = state.stopping.give_up_at
     uptime_s = round(now - state.started_at, 2)
-    return [LogEvent(log.StopAsked(event.grace_s, len(state.fanout.queries), uptime_s))]
+    ago_s = round(event.ago_s, 3)
+    return [LogEvent(log.StopAsked(event.grace_s, ago_s, len(state.fanout.queries), uptime_s))]
 
 
 def advance_stop(state: EdgeState, now: float) -> list[Effect]:
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/stopping.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/stopping.py
@@ -23,6 +23,15 @@
 PROGRESS_INTERVAL_S = 0.5
 
 
+def longest_ago_s(waited_s: float, since_tick_s: float, tick_interval_s: float) -> float:
+    """Return how long ago a request to stop may have been made that has waited in this process.
+
+    A process that is not running receives the request late, so it may have been made at any time
+    since the last tick, `since_tick_s` ago, except for the usual interval of ticks.
+    """
+    return max(waited_s, since_tick_s - tick_interval_s)
+
+
 class StopPhase(enum.StrEnum):
     """The phases of a shutdown, in order."""
 
@@ -52,15 +61,15 @@
         """Whether a shutdown was requested."""
         return math.isfinite(self.asked_at)
 
-    def request(self, grace_s: float, now: float) -> None:
-        """Start the shutdown; later requests have no effect."""
+    def request(self, grace_s: float, asked_at: float) -> None:
+        """Start the shutdown that was asked for at a time; later requests have no effect."""
         if self.asked:
             return
-        self.asked_at = now
-        self._progress_at = now + PROGRESS_INTERVAL_S
+        self.asked_at = asked_at
+        self._progress_at = asked_at + PROGRESS_INTERVAL_S
         margin_s = min(GIVE_UP_MARGIN_S, MAX_GIVE_UP_FRACTION * grace_s)
-        self.close_at = now + min(BALANCER_DRAIN_S, grace_s / 2.0)
-        self.give_up_at = now + grace_s - margin_s
+        self.close_at = asked_at + min(BALANCER_DRAIN_S, grace_s / 2.0)
+        self.give_up_at = asked_at + grace_s - margin_s
         self.end_at = self.give_up_at + CLOSE_FRACTION * margin_s
         self.exit_at = self.give_up_at + EXIT_FRACTION * margin_s
 
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/serve.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/serve.py
@@ -5,13 +5,13 @@
 import os
 import random
 import signal
+import time
 
 from typing import TYPE_CHECKING
 
 import trio
 
 from cactussaddle_core.edge import effects as fx
-from cactussaddle_core.edge import events as ev
 from cactussaddle_core.edge import logevents as log
 from cactussaddle_core.invariants import set_handler
 from cactussaddle_node.edge.daemon import EdgeDaemon
@@ -142,6 +142,6 @@
             elif received.number == signal.SIGHUP:
                 reloader.reload()
             else:
-                daemon.feed(ev.StopAsked(daemon.cfg.bounds.shutdown_grace_s))
+                daemon.stop(time.monotonic() - received.at)
     finally:
         inbox.notify(None)
--- a/tests/core/edge/test_stopping.py
+++ b/tests/core/edge/test_stopping.py
@@ -7,6 +7,7 @@
 
 from cactussaddle_core.edge import effects as fx
 from cactussaddle_core.edge import events as ev
+from cactussaddle_core.edge.stopping import longest_ago_s
 from cactussaddle_core.fanout import effects as fanfx
 from tests.core.edge.leafbehavior import CallOutcome
 from tests.core.edge.leafbehavior import unresponsive
@@ -32,6 +33,32 @@
     return world
 
 
+class RequestTimeTest(unittest.TestCase):
+    """The grace period runs from the platform's signal, not from its handling."""
+
+    def test_a_signal_that_waited_while_the_process_loaded_is_taken_for_a_new_one(self):
+        self.assertEqual(longest_ago_s(1.4, -math.inf, 0.1), 1.4)
+
+    def test_a_signal_sent_while_the_process_did_not_run_is_taken_for_a_new_one(self):
+        self.assertAlmostEqual(longest_ago_s(0.01, 2.0, 0.1), 1.9)
+        self.assertEqual(longest_ago_s(0.01, 0.08, 0.1), 0.01)
+
+    def test_the_deadlines_of_a_stop_that_was_asked_earlier_are_late(self):
+        world = World()
+        world.feed(ev.StopAsked(GRACE_S, 1.5))
+        self.assertAlmostEqual(world.state.stopping.give_up_at, world.now - 1.5 + 5.0)
+        self.assertLess(world.state.stopping.exit_at, world.now - 1.5 + GRACE_S)
+
+    def test_a_stop_asked_longer_ago_than_its_grace_period_ends_at_once(self):
+        world = World()
+        asked = world.ask()
+        world.feed(ev.StopAsked(GRACE_S, 7.0))
+        world.run(0.15)
+        self.assertIn(asked, world.done)
+        self.assertEqual(world.state.fanout.queries, {})
+        self.assertTrue(any(isinstance(effect, fx.EndProcess) for effect in world.effects))
+
+
 class StopUnderLoadTest(unittest.TestCase):
     def keep_asking(self, world: World, until: float, target: bytes) -> list[int]:
         """Send requests until the process exits, which has to be before a time."""
