A stop goes by the grace period of the newest settings

Cause: a stop took the grace period from the settings of the process's start; a reload did not reach it. Why this works: the stop asks the reloader, which reads a changed file first, also one that no SIGHUP has told of. An unexpected error there is reported and does not lose the signal.

--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/daemon.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/daemon.py
@@ -164,11 +164,11 @@
                 sweep_at = now + SWEEP_INTERVAL_S
                 self.leaf_caller.sweep(now)
 
-    def stop(self, waited_s: float) -> None:
+    def stop(self, grace_s: float, waited_s: float) -> None:
         """Begin a graceful shutdown, as asked by a signal that arrived `waited_s` ago."""
         since_tick_s = trio.current_time() - self._ticked_at
         ago_s = longest_ago_s(waited_s, since_tick_s, HOUSEKEEPING_S)
-        self.feed(ev.StopAsked(self.cfg.bounds.shutdown_grace_s, ago_s))
+        self.feed(ev.StopAsked(grace_s, ago_s))
 
     def hooks(self, listener: Listener) -> CallerHooks:
         """Return the callbacks for callers' connections on a listener."""
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/reload.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/reload.py
@@ -55,12 +55,21 @@
         self._note = note
         self._last_stamp = self._file_stamp()
 
+    @property
+    def cfg(self) -> HostSettings:
+        """The settings that were read last and are valid."""
+        return self._cfg
+
     async def run(self) -> None:
         """Poll the file for changes until cancelled."""
         while True:
             await trio.sleep(POLL_INTERVAL_S)
-            if self._file_stamp() != self._last_stamp:
-                self.reload()
+            self.reload_changed()
+
+    def reload_changed(self) -> None:
+        """Reload the file if it has changed."""
+        if self._file_stamp() != self._last_stamp:
+            self.reload()
 
     def reload(self) -> None:
         """Read the file and apply the settings that can change at run time."""
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/serve.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/serve.py
@@ -38,6 +38,7 @@
 if TYPE_CHECKING:
     import socket
 
+    from collections.abc import Callable
     from pathlib import Path
 
     from cactussaddle_node.signals import SignalInbox
@@ -130,6 +131,14 @@
     daemon.metrics.load()
 
 
+def _guarded(daemon: EdgeDaemon, reload: Callable[[], None]) -> None:
+    """Reload the settings; an unexpected error must not lose the signals that wait behind it."""
+    try:
+        reload()
+    except Exception as exc:
+        daemon.guard.failed("settings", exc)
+
+
 async def _watch_signals(daemon: EdgeDaemon, reloader: Reloader, inbox: SignalInbox) -> None:
     arrived = trio.lowlevel.ParkingLot()
     token = trio.lowlevel.current_trio_token()
@@ -140,8 +149,10 @@
             if received is None:
                 await arrived.park()
             elif received.number == signal.SIGHUP:
-                reloader.reload()
+                _guarded(daemon, reloader.reload)
             else:
-                daemon.stop(time.monotonic() - received.at)
+                _guarded(daemon, reloader.reload_changed)
+                grace_s = reloader.cfg.bounds.shutdown_grace_s
+                daemon.stop(grace_s, time.monotonic() - received.at)
     finally:
         inbox.notify(None)
