A listener that is stopped while it accepts a connection ends, without an error

What callers saw: nothing; the log of a stop had an unexpected_error of the listener, ValueError on a negative descriptor. Cause: only a task that waits for the socket is told that it was closed; one that had just accepted a connection went back to wait on the closed socket, five times a second until the end. Why this works: the loop looks whether the socket is open.

--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/listener.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/listener.py
@@ -55,7 +55,7 @@
 
     async def accept(self) -> None:
         """Accept connections until stopped."""
-        while True:
+        while self._sock.fileno() >= 0:
             try:
                 await trio.lowlevel.wait_readable(self._sock)
                 self._serve(self._sock.accept()[0])
--- a/tests/node/edge/test_caller.py
+++ b/tests/node/edge/test_caller.py
@@ -222,6 +222,14 @@
 
         self.run_node(body, at_once=False)
 
+    def test_a_listener_that_was_stopped_while_it_accepted_fails_on_its_closed_socket(self):
+        async def body(node, listener, stream):
+            listener.stop()
+            with trio.fail_after(1.0):
+                await listener.accept()
+
+        self.run_node(body)
+
     def test_what_comes_after_the_end_is_not_passed_on(self):
         async def body(node, listener, stream):
             await wait_for(lambda: listener.connections)
