Connections in use are not closed between two requests, and what crosses a close is not read

Cause: 2.6 s after SIGTERM a node closed all idle connections for sending at once, also those that were used several times a second, read what came on them afterwards and threw it away. The nearer two requests of a connection are and the longer its line, the likelier one is on its way. Why this works: a connection is closed only after a second without a request; one that is used gets 'Connection: close' with its next answer, so that its caller knows. What still crosses a close is left unread, so that it has surely not run, and is logged as data_left_unread. A stop lasts about a second longer where callers keep connections.

test_caller: two new tests failed before; those of idle connections pass the time at which a connection is quiet.

--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/logevents.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/logevents.py
@@ -347,6 +347,12 @@
     stopping: bool
 
 
+class DataLeftUnread(NamedTuple):
+    """A caller has sent more on a connection that had been closed for sending; it was not read."""
+
+    stopping: bool
+
+
 class Breach(NamedTuple):
     """An invariant of the program was violated."""
 
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/logpriority.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/logpriority.py
@@ -10,6 +10,7 @@
 from cactussaddle_core.edge.logevents import Breach
 from cactussaddle_core.edge.logevents import CallerLeft
 from cactussaddle_core.edge.logevents import CrashesLearned
+from cactussaddle_core.edge.logevents import DataLeftUnread
 from cactussaddle_core.edge.logevents import DomainsOut
 from cactussaddle_core.edge.logevents import LeafCrashed
 from cactussaddle_core.edge.logevents import LeafDraining
@@ -103,6 +104,7 @@
     TrialWriteFailed,
     CallerLeft,
     RequestsDropped,
+    DataLeftUnread,
     Breach,
     UnexpectedError,
     LinesDropped,
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/caller.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/caller.py
@@ -36,6 +36,8 @@
 # Minimum upload rate of a request body. A slower request is refused with 408 once the header
 # and idle time-outs have passed.
 MIN_BODY_BYTES_PER_S = 1024.0
+# A connection is quiet after this time without a request.
+QUIET_S = 1.0
 
 
 class DropReason(enum.StrEnum):
@@ -59,14 +61,16 @@
 
     `request_received` is called for each complete request, with a number from
     `next_request_number`; `caller_disconnected` for a request in progress whose caller has closed
-    the connection; `data_dropped` for what is read and never answered. While `stopping` returns true,
-    connections are closed after their next answer.
+    the connection; `data_dropped` for what is read and never answered, and `data_unread` if a caller has
+    sent more on a connection that takes no further requests. While `stopping` returns true, connections
+    are closed after their next answer.
     """
 
     next_request_number: Callable[[], int]
     request_received: Callable[[int, CallerConnection, IncomingRequest], None]
     caller_disconnected: Callable[[int], None]
     data_dropped: Callable[[Dropped], None]
+    data_unread: Callable[[], None]
     ended: Callable[[CallerConnection], None]
     stopping: Callable[[], bool]
     limits: Callable[[], CallerLimits]
@@ -89,6 +93,8 @@
         self._request_started_at = math.inf
         self._reading_stopped = False
         self._finishing = False
+        self._leaves_unread = False
+        self._idle_since = trio.current_time()
         self._ended = False
         self._scope = trio.CancelScope()
 
@@ -98,6 +104,20 @@
         busy = self._current_number is not None or self._pipelined or self._reader.started
         return not busy and not self._send_buffer.pending
 
+    def is_quiet(self, now: float) -> bool:
+        """Return whether the connection has been idle so long that its caller is unlikely to use it now.
+
+        A request that is on its way when the connection is closed is lost.
+        """
+        if not self.idle or self.has_unread():
+            return False
+        return now - self._idle_since >= QUIET_S
+
+    @property
+    def finishing(self) -> bool:
+        """Whether the connection takes no further requests."""
+        return self._finishing or self._ended
+
     def has_unread(self) -> bool:
         """Return whether the socket has unread data or an unread end of stream."""
         if self._ended or self._reading_stopped:
@@ -122,7 +142,10 @@
         try:
             with self._scope:
                 while not self._ended:
-                    await self._read_some()
+                    if self._leaves_unread:
+                        await self._wait_closed()
+                    else:
+                        await self._read_some()
         finally:
             self.close()
 
@@ -136,7 +159,10 @@
             f"answer to request {number} while request {self._current_number} is served",
         )
         self._current_number = None
-        keep_alive = self._keep_alive and not self._hooks.stopping()
+        self._idle_since = trio.current_time()
+        is_last = self._finishing or self._hooks.stopping()
+        keep_alive = self._keep_alive and not is_last
+        self._leaves_unread = self._leaves_unread or is_last
         self._send_buffer.write(encode_response(answer, keep_alive))
         if keep_alive:
             self._start_next()
@@ -144,8 +170,12 @@
             self._finish()
 
     def finish(self) -> None:
-        """Accept no further requests; pending answers are written before the connection closes."""
+        """Accept no further requests; pending answers are written before the connection closes.
+
+        What the caller sends from now on is left unread.
+        """
         if not self._ended:
+            self._leaves_unread = True
             self._finish()
 
     def close(self) -> None:
@@ -167,7 +197,7 @@
     async def _read_some(self) -> None:
         with trio.move_on_at(self._read_deadline(trio.current_time())) as scope:
             await self._wait_readable()
-        if self._ended:
+        if self._ended or self._leaves_unread:
             return
         if scope.cancelled_caught:
             self._read_timed_out()
@@ -186,6 +216,27 @@
         else:
             self._process_data(data)
 
+    async def _wait_closed(self) -> None:
+        """Wait until the caller closes the connection, or the idle time-out, without reading data."""
+        with trio.move_on_after(self._hooks.limits().idle_timeout_s) as scope:
+            await self._wait_readable()
+            if self._has_unread_data():
+                self._hooks.data_unread()
+                await trio.sleep_forever()
+        if not scope.cancelled_caught or self.idle:
+            self.close()
+
+    def _has_unread_data(self) -> bool:
+        """Return whether a readable socket has data, not an end of stream or an error."""
+        if self._ended:
+            return False
+        try:
+            return bool(self._sock.recv(1, socket.MSG_PEEK))
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+
     async def _wait_readable(self) -> None:
         try:
             await trio.lowlevel.wait_readable(self._sock)
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/daemon.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/daemon.py
@@ -178,6 +178,7 @@
             request_received=self._on_request,
             caller_disconnected=self._on_disconnect,
             data_dropped=self._on_dropped,
+            data_unread=self._on_unread,
             ended=listener.connections.discard,
             stopping=lambda: self.state.stopping.is_closing(trio.current_time()),
             limits=self._limits,
@@ -257,6 +258,10 @@
         event = log.RequestsDropped(dropped.reason.value, ids, dropped.unfinished, is_stopping)
         self.log.write(event, trio.current_time())
 
+    def _on_unread(self) -> None:
+        self.metrics.count(UNANSWERED_COUNTER, {"reason": "left unread"})
+        self.log.write(log.DataLeftUnread(self.state.stopping.asked), trio.current_time())
+
     def _answer(self, number: int, answer: OutgoingResponse) -> None:
         connection = self._connections.pop(number, None)
         if connection is not None:
@@ -317,7 +322,7 @@
 
     def _close_idle(self, effect: fx.CloseIdle) -> None:
         if self._listener is not None:
-            self._listener.finish_idle()
+            self._listener.finish_quiet(trio.current_time())
 
     def _set_place(self, effect: fx.SetTreePosition) -> None:
         if self.place_changed is not None:
@@ -374,7 +379,8 @@
         self.log.write(log.TrialWriteFailed(fingerprint, reason), trio.current_time())
 
     def _end_process(self, effect: fx.EndProcess) -> None:
-        if self._listener is None or self._listener.end(forced=effect.forced):
+        now = trio.current_time()
+        if self._listener is None or self._listener.end(now, forced=effect.forced):
             self.stopped.set()
 
     def open_connections(self) -> int:
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/internalhooks.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/internalhooks.py
@@ -29,6 +29,7 @@
         request_received=request_received,
         caller_disconnected=_ignore_disconnect,
         data_dropped=_ignore_dropped,
+        data_unread=_ignore_unread,
         ended=listener.connections.discard,
         stopping=_never,
         limits=lambda: DEFAULT_CALLER_LIMITS,
@@ -43,5 +44,9 @@
     """Do nothing: nodes and operators ask again."""
 
 
+def _ignore_unread() -> None:
+    """Do nothing: nodes and operators ask again."""
+
+
 def _never() -> bool:
     return False
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/listener.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/listener.py
@@ -68,19 +68,19 @@
                 if exc.errno in OUT_OF_DESCRIPTORS:
                     await trio.sleep(DESCRIPTOR_RETRY_DELAY_S)
 
-    def finish_idle(self) -> None:
-        """Shut down connections that have no request in progress and no unread data."""
+    def finish_quiet(self, now: float) -> None:
+        """Shut down connections that their callers don't use at present."""
         for connection in list(self.connections):
-            if connection.idle and not connection.has_unread():
+            if not connection.finishing and connection.is_quiet(now):
                 connection.finish()
 
-    def end(self, *, forced: bool) -> bool:
+    def end(self, now: float, *, forced: bool) -> bool:
         """Stop accepting connections and requests; return whether it was done.
 
         Unless `forced`, nothing is stopped while a connection waits to be accepted, has a request
-        in progress or has unread data.
+        in progress or unread data, or may be used by its caller.
         """
-        if not forced and (self._accept_backlog() or any(map(_is_busy, self.connections))):
+        if not forced and (self._accept_backlog() or self._is_used(now)):
             return False
         self.stop()
         for connection in list(self.connections):
@@ -109,6 +109,12 @@
             count += 1
         return count > 0
 
+    def _is_used(self, now: float) -> bool:
+        return any(
+            _is_busy(connection) or not (connection.finishing or connection.is_quiet(now))
+            for connection in self.connections
+        )
+
     def _serve(self, sock: socket.socket) -> None:
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/tests/node/edge/test_caller.py
+++ b/tests/node/edge/test_caller.py
@@ -7,6 +7,7 @@
 
 from cactussaddle_common.http.message import OutgoingResponse
 from cactussaddle_core.routing.model import CallerLimits
+from cactussaddle_node.edge.caller import QUIET_S
 from cactussaddle_node.edge.caller import CallerConnection
 from cactussaddle_node.edge.caller import CallerHooks
 from cactussaddle_node.edge.caller import Dropped
@@ -29,6 +30,7 @@
         self.arrived: list[tuple[int, CallerConnection, object]] = []
         self.gone: list[int] = []
         self.dropped: list[Dropped] = []
+        self.unread = 0
         self.port = 0
         self.errors: list[tuple[str, str, str]] = []
         self._next = 0
@@ -39,6 +41,7 @@
             request_received=self.take,
             caller_disconnected=self.gone.append,
             data_dropped=self.dropped.append,
+            data_unread=self._take_unread,
             ended=listener.connections.discard,
             stopping=lambda: self.stopping,
             limits=lambda: LIMITS,
@@ -55,6 +58,9 @@
         if self.at_once:
             connection.answer(number, OutgoingResponse(200, (), request.head.target))
 
+    def _take_unread(self) -> None:
+        self.unread += 1
+
     def report(self, task: str, error: str, place: str) -> None:
         self.errors.append((task, error, place))
 
@@ -155,9 +161,9 @@
         async def body(node, listener, stream):
             await stream.send_all(b"GET /a HTTP/1.1\r\n\r\n")
             await wait_for(lambda: node.arrived)
-            listener.finish_idle()
+            listener.finish_quiet(later())
             node.answer(0, b"x")
-            listener.finish_idle()
+            listener.finish_quiet(later())
             self.assertTrue((await read_until(stream, b"x")).endswith(b"x"))
             self.assertEqual(await stream.receive_some(), b"")
             await stream.aclose()
@@ -170,14 +176,14 @@
             await stream.send_all(b"GET /a HTTP/1.1\r\n\r\n")
             await wait_for(lambda: node.arrived)
             node.answer(0, b"z" * 6_000_000)
-            listener.finish_idle()
-            self.assertFalse(listener.end(forced=False))
+            listener.finish_quiet(later())
+            self.assertFalse(listener.end(later(), forced=False))
             total = 0
             while total < 6_000_000:
                 piece = await stream.receive_some(50_000)
                 self.assertNotEqual(piece, b"")
                 total += len(piece)
-            await wait_for(lambda: listener.end(forced=False))
+            await wait_for(lambda: listener.end(later(), forced=False))
             self.assertEqual(await stream.receive_some(), b"")
 
         self.run_node(body, at_once=False)
@@ -192,16 +198,16 @@
             await wait_for(lambda: len(listener.connections) == 4)
             send_now(stream, b"GET /b HTTP/1.1\r\n\r\n")
             send_now(others[0], b"GET /c HT")
-            self.assertFalse(listener.end(forced=False))
-            listener.finish_idle()
+            self.assertFalse(listener.end(later(), forced=False))
+            listener.finish_quiet(later())
             await others[0].send_all(b"TP/1.1\r\n\r\n")
             await wait_for(lambda: len(node.arrived) == 3)
-            self.assertFalse(listener.end(forced=False))
+            self.assertFalse(listener.end(later(), forced=False))
             for index in (1, 2):
                 node.answer(index, b"x")
             for caller in (stream, others[0]):
                 self.assertIn(b"x", await read_until(caller, b"x"))
-            self.assertTrue(listener.end(forced=False))
+            self.assertTrue(listener.end(later(), forced=False))
             for caller in (stream, *others):
                 self.assertEqual(await caller.receive_some(), b"")
                 await caller.aclose()
@@ -213,11 +219,11 @@
             await wait_for(lambda: listener.connections)
             late = socket.create_connection(("127.0.0.1", node.port))
             late.sendall(b"GET /late HTTP/1.1\r\n\r\n")
-            self.assertFalse(listener.end(forced=False))
+            self.assertFalse(listener.end(later(), forced=False))
             await wait_for(lambda: node.arrived)
             node.answer(0, b"x")
             self.assertIn(b"x", late.recv(1000))
-            self.assertTrue(listener.end(forced=False))
+            self.assertTrue(listener.end(later(), forced=False))
             late.close()
 
         self.run_node(body, at_once=False)
@@ -233,7 +239,7 @@
     def test_what_comes_after_the_end_is_not_passed_on(self):
         async def body(node, listener, stream):
             await wait_for(lambda: listener.connections)
-            self.assertTrue(listener.end(forced=False))
+            self.assertTrue(listener.end(later(), forced=False))
             await stream.send_all(b"GET /a HTTP/1.1\r\n\r\n")
             self.assertEqual(await stream.receive_some(), b"")
             await trio.sleep(0.05)
@@ -256,6 +262,31 @@
 
         self.run_node(body)
 
+    def test_a_request_that_crosses_the_close_is_read_and_dropped(self):
+        async def body(node, listener, stream):
+            await stream.send_all(b"GET /a HTTP/1.1\r\n\r\n")
+            await read_until(stream, b"/a")
+            listener.finish_quiet(later())
+            await stream.send_all(b"GET /b HTTP/1.1\r\n\r\n")
+            await wait_for(lambda: node.unread)
+            self.assertEqual(await stream.receive_some(), b"")
+            self.assertEqual((len(node.arrived), node.dropped), (1, []))
+
+        self.run_node(body)
+
+    def test_a_connection_in_use_is_closed_between_two_requests(self):
+        async def body(node, listener, stream):
+            await stream.send_all(b"GET /a HTTP/1.1\r\n\r\n")
+            await read_until(stream, b"/a")
+            listener.finish_quiet(trio.current_time() + 0.5 * QUIET_S)
+            self.assertFalse(listener.end(trio.current_time() + 0.5 * QUIET_S, forced=False))
+            node.stopping = True
+            await stream.send_all(b"GET /b HTTP/1.1\r\n\r\n")
+            self.assertIn(b"Connection: close", await read_until(stream, b"/b"))
+            self.assertTrue(listener.end(trio.current_time(), forced=False))
+
+        self.run_node(body)
+
     def test_the_way_to_the_caller_is_known_from_the_connection(self):
         async def body(node, listener, stream):
             ways: list[float] = []
@@ -321,6 +352,11 @@
         self.run_node(body, at_once=False)
 
 
+def later() -> float:
+    """Return a time at which a connection that is idle now is quiet."""
+    return trio.current_time() + 2.0 * QUIET_S
+
+
 def send_now(stream, data: bytes) -> None:
     """Send without yielding to other tasks."""
     stream.socket._sock.send(data)
