A stopping node answers all that a caller has sent ahead before it closes the connection

What callers saw: nothing that is proved. Cause: each answer of a stopping node ended its connection, and dropped what was read behind it. Why this works: the answer that ends a connection is the one to the last request that has been sent; at the end of the grace period requests are refused at once, so callers that go on sending don't hold the node.

--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/caller.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/caller.py
@@ -63,7 +63,7 @@
     `next_request_number`; `caller_disconnected` for a request in progress whose caller has closed
     the connection; `data_dropped` for what is read and never answered, and `data_unread` if a caller has
     sent more on a connection that takes no further requests. While `stopping` returns true, connections
-    are closed after their next answer.
+    are closed after the answers to what their callers have sent.
     """
 
     next_request_number: Callable[[], int]
@@ -160,7 +160,7 @@
         )
         self._current_number = None
         self._idle_since = trio.current_time()
-        is_last = self._finishing or self._hooks.stopping()
+        is_last = self._finishing or (self._hooks.stopping() and not self._has_more())
         keep_alive = self._keep_alive and not is_last
         self._leaves_unread = self._leaves_unread or is_last
         self._send_buffer.write(encode_response(answer, keep_alive))
@@ -237,6 +237,10 @@
         except OSError:
             return False
 
+    def _has_more(self) -> bool:
+        """Return whether the caller has sent more than the requests that were answered."""
+        return bool(self._pipelined) or self._reader.started or self.has_unread()
+
     async def _wait_readable(self) -> None:
         try:
             await trio.lowlevel.wait_readable(self._sock)
--- a/tests/node/edge/test_caller.py
+++ b/tests/node/edge/test_caller.py
@@ -287,6 +287,23 @@
 
         self.run_node(body)
 
+    def test_requests_sent_ahead_are_dropped_behind_an_answer_that_ends_the_connection(self):
+        async def body(node, listener, stream):
+            ahead = [b"GET /%d HTTP/1.1\r\n\r\n" % number for number in range(3)]
+            await stream.send_all(ahead[0] + ahead[1] + ahead[2][:9])
+            await wait_for(lambda: node.arrived)
+            node.stopping = True
+            node.answer(0, b"first")
+            node.answer(1, b"second")
+            self.assertNotIn(b"Connection: close", await read_until(stream, b"second"))
+            await stream.send_all(ahead[2][9:])
+            await wait_for(lambda: len(node.arrived) == 3)
+            node.answer(2, b"third")
+            self.assertIn(b"Connection: close", await read_until(stream, b"third"))
+            self.assertEqual(node.dropped, [])
+
+        self.run_node(body, at_once=False)
+
     def test_the_way_to_the_caller_is_known_from_the_connection(self):
         async def body(node, listener, stream):
             ways: list[float] = []
