The end of a stop cuts no answer that is being made or written

At the forced end of a stop a connection with a request in progress was closed for sending, so its answer could not be written; and .4 s later the process ended, with answers that slow callers had not taken yet. Cause: the step that ends a connection looked only for bytes that wait to be written, not for a request; the last wait had a length of its own instead of the grace period's end.

--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/caller.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/caller.py
@@ -113,6 +113,11 @@
             return False
         return now - self._idle_since >= QUIET_S
 
+    @property
+    def is_writing(self) -> bool:
+        """Whether bytes of answers wait to be taken by the kernel."""
+        return not self._ended and bool(self._send_buffer.pending)
+
     @property
     def finishing(self) -> bool:
         """Whether the connection takes no further requests."""
@@ -320,9 +325,9 @@
         """
         self._reading_stopped = True
         self._finishing = True
-        self._drop_received(DropReason.BEHIND_LAST)
-        if self._send_buffer.pending:
+        if self._current_number is not None or self._send_buffer.pending:
             return
+        self._drop_received(DropReason.BEHIND_LAST)
         try:
             self._sock.shutdown(socket.SHUT_WR)
         except OSError:
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/daemon.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/daemon.py
@@ -64,8 +64,8 @@
 # Subtracted from the deadline sent to a leaf, to leave time to return the answer to the caller.
 LEAF_DEADLINE_MARGIN_S = 0.005
 SWEEP_INTERVAL_S = 0.1
-# Longest wait at shutdown for callers to read their last answers; answers that are unread when
-# the process exits are lost.
+# Longest wait at shutdown for callers to read their last answers once these are written; answers that
+# are unread when the process exits may be lost.
 LAST_ANSWERS_TIMEOUT_S = 0.4
 # Logged as the age of records that the store has never confirmed.
 MAX_LOGGED_AGE_S = 1e6
@@ -106,6 +106,8 @@
         # Infinity before the first tick.
         self._ticked_at = math.inf
         self._listener: Listener | None = None
+        # Callers' connections that were still open as the process ended.
+        self.connections_left = 0
 
     def feed(self, event: ev.Event) -> None:
         """Reduce an event and carry out its effects.
@@ -383,15 +385,16 @@
         if self._listener is None or self._listener.end(now, forced=effect.forced):
             self.stopped.set()
 
-    def open_connections(self) -> int:
-        """Return the number of callers' connections."""
-        return len(self._listener.connections) if self._listener is not None else 0
-
-    async def wait_answers_read(self) -> None:
-        """Wait up to `LAST_ANSWERS_TIMEOUT_S` for callers to read their answers and disconnect."""
-        if self._listener is not None:
+    async def end_connections(self) -> None:
+        """Wait for callers to read their answers and disconnect, and close what is left."""
+        if self._listener is None:
+            return
+        with trio.move_on_at(self.state.stopping.exit_at):
+            await self._listener.wait_written()
             with trio.move_on_after(LAST_ANSWERS_TIMEOUT_S):
                 await self._listener.wait_closed()
+        self.connections_left = len(self._listener.connections)
+        self._listener.close()
 
 
 _EFFECT_HANDLERS: dict[type[Any], Any] = {
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/listener.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/listener.py
@@ -92,6 +92,16 @@
         while self.connections:
             await trio.sleep(CLOSE_POLL_INTERVAL_S)
 
+    async def wait_written(self) -> None:
+        """Wait until the answers on all connections have been written."""
+        while any(connection.is_writing for connection in self.connections):
+            await trio.sleep(CLOSE_POLL_INTERVAL_S)
+
+    def close(self) -> None:
+        """Close all connections at once."""
+        for connection in list(self.connections):
+            connection.close()
+
     def stop(self) -> None:
         """Close the listening socket; open connections continue."""
         if self._sock.fileno() >= 0:
--- a/tests/node/edge/test_caller.py
+++ b/tests/node/edge/test_caller.py
@@ -304,6 +304,47 @@
 
         self.run_node(body, at_once=False)
 
+    def test_the_end_of_a_connection_in_use_cuts_its_answer(self):
+        async def body(node, listener, stream):
+            await stream.send_all(b"GET /a HTTP/1.1\r\n\r\n")
+            await wait_for(lambda: node.arrived)
+            self.assertTrue(listener.end(later(), forced=True))
+            node.answer(0, b"whole")
+            answer = await read_until(stream, b"whole")
+            self.assertTrue(answer.endswith(b"whole"))
+            self.assertIn(b"Connection: close", answer)
+            self.assertEqual(await stream.receive_some(), b"")
+
+        self.run_node(body, at_once=False)
+
+    def test_a_caller_that_closes_a_connection_at_its_end_is_not_gone(self):
+        async def body(node, listener, stream):
+            await stream.send_all(b"GET /a HTTP/1.1\r\n\r\n")
+            await wait_for(lambda: node.arrived)
+            listener.end(later(), forced=True)
+            await stream.aclose()
+            await wait_for(lambda: not listener.connections)
+            self.assertEqual(node.gone, [node.arrived[0][0]])
+
+        self.run_node(body, at_once=False)
+
+    def test_the_process_ends_before_an_answer_to_a_slow_caller_is_written(self):
+        async def body(node, listener, stream):
+            await stream.send_all(b"GET /a HTTP/1.1\r\n\r\n")
+            await wait_for(lambda: node.arrived)
+            node.answer(0, b"z" * 6_000_000)
+            self.assertTrue(listener.end(later(), forced=True))
+            with trio.move_on_after(0.1) as scope:
+                await listener.wait_written()
+            self.assertTrue(scope.cancelled_caught)
+            total = 0
+            while piece := await stream.receive_some(100_000):
+                total += len(piece)
+            self.assertGreater(total, 6_000_000)
+            await listener.wait_written()
+
+        self.run_node(body, at_once=False)
+
     def test_the_way_to_the_caller_is_known_from_the_connection(self):
         async def body(node, listener, stream):
             ways: list[float] = []
