--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -17,12 +17,13 @@
 from tests.harness.process import environment
 from tests.soak.run import Options
 from tests.soak.run import run_soak
+from tests.soak.stopsoak import run_stops
 
 BOUND_S = 300.0
 
 
-def run_here(options: Options) -> int:
-    ledger = trio.run(run_soak, options)
+def run_here(options: Options, *, stops: bool) -> int:
+    ledger = trio.run(run_stops if stops else run_soak, options)
     print(f"seed {options.seed}: {sum(ledger.results.values())} answers {ledger.summary()}")
     for text in ledger.broken[:20]:
         print(f"  broken: {text}")
@@ -50,6 +51,7 @@
 def main() -> int:
     parser = argparse.ArgumentParser(prog="python -m tests.soak", description=__doc__)
     parser.add_argument("--seeds", default="1-5", help="such as 7 or 1-50")
+    parser.add_argument("--stops", action="store_true", help="planned stops alone")
     parser.add_argument("--one", type=int, help="run this seed here")
     parser.add_argument("--seconds", type=float, default=15.0, help="how long faults come")
     parser.add_argument("--nodes", type=int, default=5)
@@ -60,9 +62,10 @@
     logs = args.logs or Path(tempfile.mkdtemp(prefix="soak-"))
     if args.one is not None:
         logs.mkdir(parents=True, exist_ok=True)
-        return run_here(Options(args.one, args.seconds, args.nodes, args.callers, logs))
+        options = Options(args.one, args.seconds, args.nodes, args.callers, logs)
+        return run_here(options, stops=args.stops)
     passed = ["--seconds", args.seconds, "--nodes", args.nodes, "--callers", args.callers]
-    argv = [str(value) for value in passed]
+    argv = [str(value) for value in passed] + (["--stops"] if args.stops else [])
     failed = 0
     with concurrent.futures.ThreadPoolExecutor(args.jobs) as pool:
         for code, text in pool.map(
--- a/tests/soak/stops.py
+++ b/tests/soak/stops.py
@@ -272,26 +272,37 @@
         await caller.ask(f"/w/{work_ms:.0f}", 8.0)
 
 
+async def listens(node: NodeProcess) -> bool:
+    """Return whether a node's process takes callers."""
+    try:
+        stream = await trio.open_tcp_stream(node.ip, CALLER_PORT)
+    except OSError:
+        return False
+    await stream.aclose()
+    return True
+
+
 async def stop(
     node: NodeProcess, record: Record, grace_s: float, signals: int = 1, apart_s: float = 0.0
 ) -> Stop:
     """Stop a node as the platform does: SIGTERM (`signals` of them), and SIGKILL after the grace period."""
-    assert node.child is not None
-    asked_at = trio.current_time()
-    node.stopping_since = asked_at
+    child = node.child
+    assert child is not None
+    asked_at = node.stopping_since = trio.current_time()
     node.signal(signal.SIGTERM)
     sent = 1
-    while node.is_running() and trio.current_time() - asked_at < grace_s:
-        await trio.sleep(apart_s if sent < signals else GONE_POLL_S)
-        if sent < signals:
+    signalled_at = asked_at
+    while child.poll() is None and trio.current_time() - asked_at < grace_s:
+        await trio.sleep(GONE_POLL_S if sent >= signals else min(GONE_POLL_S, apart_s))
+        if sent < signals and trio.current_time() - signalled_at >= apart_s:
             sent += 1
-            node.signal(signal.SIGTERM)
-    killed = node.is_running()
+            signalled_at = trio.current_time()
+            child.send_signal(signal.SIGTERM)
+    killed = child.poll() is None
     if killed:
-        node.signal(signal.SIGKILL)
-        node.child.wait()
-    gone_s = trio.current_time() - asked_at
-    done = Stop(node.name, asked_at, gone_s, killed, node.child.returncode)
+        child.kill()
+    status = child.wait()
+    done = Stop(node.name, asked_at, trio.current_time() - asked_at, killed, status)
     record.stops.append(done)
     return done
 
--- a/tests/soak/test_stops.py
+++ b/tests/soak/test_stops.py
@@ -21,6 +21,7 @@
 from tests.soak.stops import Record
 from tests.soak.stops import StopCaller
 from tests.soak.stops import keep_asking
+from tests.soak.stops import listens
 from tests.soak.stops import stop
 from tests.soak.stops import throttle
 
@@ -88,17 +89,9 @@
         while self.node.starts == starts:
             await trio.sleep(0.005)
         self.nursery.start_soon(throttle, self.node, BUSY_SHARE)
-        while not await self._listens():
+        while not await listens(self.node):
             await trio.sleep(0.01)
 
-    async def _listens(self) -> bool:
-        try:
-            stream = await trio.open_tcp_stream(self.node.ip, CALLER_PORT)
-        except OSError:
-            return False
-        await stream.aclose()
-        return True
-
     async def stop(self, grace_s: float = GRACE_S, **changes: Any) -> None:
         """Stop the node, and wait until its callers have seen its end."""
         await stop(self.node, self.record, grace_s, **changes)
