--- a/tests/soak/stopsoak.py
+++ b/tests/soak/stopsoak.py
@@ -10,8 +10,10 @@
 
 import trio
 
+from tests.soak.configs import PLAIN
 from tests.soak.nodes import CALLER_PORT
 from tests.soak.nodes import GRACE_S
+from tests.soak.run import DOMAINS
 from tests.soak.run import Soak
 from tests.soak.stops import DelayLine
 from tests.soak.stops import Record
@@ -35,6 +37,7 @@
 SHARES = (0.3, 0.5)
 BUSY_FRACTION = 0.3
 STOPS_PER_S = 0.4
+MORE_LEAVES = 12
 CONFIG_EVERY_S = (0.5, 3.0)
 
 
@@ -161,6 +164,8 @@
         soak = Soak(options=options, nursery=nursery)
         try:
             await soak.start()
+            for number in range(MORE_LEAVES):
+                await soak.add_leaf(PLAIN, DOMAINS[number % len(DOMAINS)], version=f"v1.{number}")
             await trio.sleep(LOADED_S)
             stops = StopSoak(soak=soak, options=options, nursery=nursery)
             await stops.start_callers()
