Own interface: a second signal does not end a stopping node

A second SIGTERM or SIGINT ended a stopping node at once, with its requests. Cause: the handler was given back after the first signal, and the default action of the next ended the process. Evidence: tests.node.test_daemon failed before (the node was gone within .5 s), passes after with exit status 0. Why this works: the handler stays; later signals change nothing.

--- a/packages/cactussaddle-node/src/cactussaddle_node/daemon.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/daemon.py
@@ -244,12 +244,12 @@
 
 
 async def wait_for_stop(daemon: Daemon) -> None:
-    """Feed a stop event on the first SIGTERM or SIGINT."""
+    """Feed a stop event on the first SIGTERM or SIGINT; later ones must not end the process."""
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async for _ in signals:
-            logs.log("stop_asked")
-            daemon.feed(StopAsked(daemon.cfg.stop_seconds))
-            return
+            if not daemon.state.stopping:
+                logs.log("stop_asked")
+                daemon.feed(StopAsked(daemon.cfg.stop_seconds))
 
 
 async def serve(cfg: NodeSettings) -> None:
