Own interface: a stop cuts no requests at its end while callers keep coming

Cause: a stop waited for a moment without requests until its time was over, and then ended with those that were open. Evidence: tests.core.node.test_stopping failed before: 'graceful-stop: 4 requests cut by the stop'.

--- a/packages/cactussaddle-core/src/cactussaddle_core/node/callers.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/node/callers.py
@@ -15,6 +15,7 @@
 from cactussaddle_core.hashing import hash64
 from cactussaddle_core.node import intake
 from cactussaddle_core.node import orders
+from cactussaddle_core.node import stopping
 from cactussaddle_core.node.effects import Answer
 from cactussaddle_core.node.effects import SendPeer
 from cactussaddle_core.node.state import PolicyName
@@ -52,6 +53,9 @@
         return [
             orders.answer(event.req_id, ResultCode.UNKNOWN_ROUTE, f"no route {event.route!r}", 0.0)
         ]
+    deadline_ms = event.deadline_ms if event.deadline_ms is not None else route["deadline_ms"]
+    if stopping.ends_before(state, now + deadline_ms / 1000.0):
+        return [orders.answer(event.req_id, ResultCode.STOPPING, "node is stopping", RETRY_AFTER_S)]
     if not route["idempotent"]:
         return orders.submit(state, event, route, now, wall)
     query_request = _query_request(event, route)
--- a/packages/cactussaddle-core/src/cactussaddle_core/node/stopping.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/node/stopping.py
@@ -16,6 +16,8 @@
 
 
 BALANCER_LAG_S = 2.0
+# Answers are made this long before the process ends at the latest.
+ANSWER_MARGIN_S = 0.5
 HANDOVER_S = 8.0
 # The other nodes need this long to learn that this node no longer uses the slots it handed over.
 SETTLED_HEARD_S = 2.0
@@ -41,6 +43,14 @@
     return [EndProcess()]
 
 
+def ends_before(state: NodeState, deadline: float) -> bool:
+    """Return whether the process may end before a request with this deadline has its answer.
+
+    Such requests are refused, as callers that keep coming would otherwise have some open at the end.
+    """
+    return state.stopping and deadline > state.stop_by - ANSWER_MARGIN_S
+
+
 def may_stop(state: NodeState, now: float) -> bool:
     """Return whether a graceful shutdown is complete: no open requests and no slots held.
 
