--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/starting.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/starting.py
@@ -78,7 +78,7 @@
 
 def decline_stopping(request: CallerRequest) -> Declined:
     """Decline a request that this node can't serve before it exits."""
-    return _decline(request, ResultCode.NOT_RUN, STOPPING, STOPPING_RETRY_S)
+    return _decline(request, ResultCode.STOPPING, STOPPING, STOPPING_RETRY_S)
 
 
 def decline_held(request: CallerRequest, retry_after_s: float) -> Declined:
