--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/eventlog.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/eventlog.py
@@ -21,6 +21,8 @@
 # Tokens kept back from each weight, so that routine lines leave room for changes, and changes for
 # failures.
 RESERVED_TOKENS = {LogPriority.ROUTINE: 120.0, LogPriority.CHANGE: 40.0, LogPriority.FAILURE: 0.0}
+# Minimum interval of the lines that count dropped ones; they would use up what the limit allows.
+REPORT_INTERVAL_S = 1.0
 MAX_BUFFERED_BYTES = 262_144
 # Writes of up to this size to a pipe are atomic (PIPE_BUF), so lines are not split.
 ATOMIC_WRITE_BYTES = 4096
@@ -38,6 +40,7 @@
         self._tokens = BURST_LINES
         self._refilled_at = 0.0
         self._dropped: dict[str, int] = {}
+        self._report_at = 0.0
         self.lines_dropped = 0
         os.set_blocking(descriptor, False)
 
@@ -52,10 +55,9 @@
 
     def flush(self, now: float) -> None:
         """Write as many queued lines as the descriptor accepts without blocking."""
-        if self._dropped and self._admit(LogPriority.CHANGE, now):
-            dropped, self._dropped = self._dropped, {}
-            event = LinesDropped(dropped)
-            self._queue(self._name(event), event)
+        if self._dropped and now >= self._report_at and self._admit(LogPriority.CHANGE, now):
+            self._report_dropped()
+            self._report_at = now + REPORT_INTERVAL_S
         while self._buffer:
             end = self._buffer.rfind(b"\n", 0, ATOMIC_WRITE_BYTES) + 1 or len(self._buffer)
             try:
@@ -67,6 +69,17 @@
                 return
             del self._buffer[:written]
 
+    def close(self, now: float) -> None:
+        """Write what is queued, with the lines dropped so far, as the process exits."""
+        if self._dropped:
+            self._report_dropped()
+        self.flush(now)
+
+    def _report_dropped(self) -> None:
+        dropped, self._dropped = self._dropped, {}
+        event = LinesDropped(dropped)
+        self._queue(self._name(event), event)
+
     def _queue(self, name: str, event: Any) -> None:
         fields = event._asdict()
         line = {"time": round(time.time(), 3), "node": self._node, "event": name, **fields}
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/serve.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/serve.py
@@ -122,7 +122,7 @@
         await daemon.end_connections()
         stopped = log.Stopped(len(daemon.state.fanout.queries), daemon.connections_left)
         daemon.note(fx.LogEvent(stopped))
-        daemon.log.flush(trio.current_time())
+        daemon.log.close(trio.current_time())
         nursery.cancel_scope.cancel()
 
 
--- a/tests/node/edge/test_eventlog.py
+++ b/tests/node/edge/test_eventlog.py
@@ -70,6 +70,20 @@
         written = sum(1 for line in lines if line["event"] == "leaf_standing")
         self.assertEqual(dropped[0]["by_event"]["leaf_standing"], 500 - written)
 
+    def test_lines_that_count_dropped_ones_take_the_room_of_others(self):
+        for step in range(400):
+            now = 1.0 + 0.01 * step
+            for number in range(3):
+                self.log.write(standing(number), now)
+            self.log.flush(now)
+        lines = self.lines()
+        counting = [line for line in lines if line["event"] == "lines_dropped"]
+        self.assertLessEqual(len(counting), 5)
+        self.log.close(6.0)
+        left_out = sum(sum(line["by_event"].values()) for line in [*counting, *self.lines()])
+        others = sum(1 for line in lines if line["event"] == "leaf_standing")
+        self.assertEqual(left_out, 1200 - others)
+
     def test_failures_have_room_when_routine_has_none(self):
         for number in range(500):
             self.log.write(standing(number), 1.0)
