--- a/tests/soak/stops.py
+++ b/tests/soak/stops.py
@@ -148,6 +148,12 @@
         reached = self.reached_leaves()
         return [sent for sent in self.unanswered() if sent.request in reached]
 
+    def cut_outside_stops(self) -> list[Sent]:
+        """Return the requests that a leaf had when their connections ended, while no stop was under way."""
+        reached = self.reached_leaves()
+        lost = [sent for sent in self.sent if sent.status == 0 and sent.request in reached]
+        return [sent for sent in lost if not self._is_in_stop(sent)]
+
     def killed(self) -> list[Stop]:
         return [stop for stop in self.stops if stop.killed]
 
--- a/tests/soak/stopsoak.py
+++ b/tests/soak/stopsoak.py
@@ -148,6 +148,8 @@
             ledger.breach(f"ended by a signal: {stopped}")
         for sent in record.cut_at_leaves():
             ledger.breach(f"a leaf had it: {sent}")
+        for sent in record.cut_outside_stops():
+            ledger.breach(f"a leaf had it, and no stop was under way: {sent}")
         for line in record.dropped_lines():
             ledger.breach(f"read and dropped: {line}")
         for node in self.soak.nodes:
