Soak: the nodes of all failure domains are stopped in turn, and a balancer that has no other node uses them

The users' setting with stand-ins: seven nodes, three failure domains, a balancer that asks each node once a second and uses all nodes of a domain if fewer than half are ready, callers that keep or open connections, searches and single requests.

--- a/tests/soak/stops.py
+++ b/tests/soak/stops.py
@@ -20,6 +20,8 @@
 if TYPE_CHECKING:
     import random
 
+    from collections.abc import Callable
+
     from tests.soak.nodes import NodeProcess
     from tests.soak.run import Soak
 
@@ -169,25 +171,27 @@
 
 
 class StopCaller:
-    """One caller of one node: a request after another until it is told to end.
+    """One caller: a request after another, to the node that `choose` returns for each new connection.
 
     With `kept` it reuses its connection unless that was closed, else it opens one for each request.
+    `address`, if given, is where it connects instead of to the node.
     """
 
     def __init__(
         self,
         *,
         name: str,
-        node: NodeProcess,
+        choose: Callable[[], NodeProcess],
         record: Record,
         kept: bool,
         address: tuple[str, int] | None = None,
     ) -> None:
         self._name = name
-        self._node = node
+        self._choose = choose
+        self._node = choose()
         self._record = record
         self._kept = kept
-        self._address = address or (node.ip, CALLER_PORT)
+        self._address = address
         self._count = 0
         self._stream: trio.SocketStream | None = None
         self._http = h11.Connection(h11.CLIENT)
@@ -225,9 +229,11 @@
         return sent
 
     async def _connect(self) -> bool:
+        self._node = self._choose()
+        address = self._address or (self._node.ip, CALLER_PORT)
         try:
             with trio.fail_after(CONNECT_S):
-                self._stream = await trio.open_tcp_stream(*self._address)
+                self._stream = await trio.open_tcp_stream(*address)
         except (OSError, trio.TooSlowError):
             return False
         self._http = h11.Connection(h11.CLIENT)
@@ -269,13 +275,22 @@
 
 
 async def keep_asking(
-    caller: StopCaller, per_s: float, works_ms: tuple[float, float], rng: random.Random
+    caller: StopCaller,
+    per_s: float,
+    works_ms: tuple[float, float],
+    rng: random.Random,
+    searches: float = 0.0,
 ) -> None:
-    """Send requests with random pauses, each with a work time drawn from a range, until cancelled."""
+    """Send requests with random pauses, each with a work time drawn from a range, until cancelled.
+
+    A share of the requests are `searches` over all shards.
+    """
     while True:
         await trio.sleep(rng.expovariate(per_s))
-        work_ms = rng.uniform(*works_ms)
-        await caller.ask(f"/w/{work_ms:.0f}", 8.0)
+        if rng.random() < searches:
+            await caller.ask("/g/x", 1.5)
+        else:
+            await caller.ask(f"/w/{rng.uniform(*works_ms):.0f}", 8.0)
 
 
 async def listens(node: NodeProcess) -> bool:
--- a/tests/soak/stopsoak.py
+++ b/tests/soak/stopsoak.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import random
 import signal
 
@@ -88,7 +89,7 @@
             node = self.soak.nodes[number % len(self.soak.nodes)]
             caller = StopCaller(
                 name=f"c{number}",
-                node=node,
+                choose=functools.partial(_same, node),
                 record=self.record,
                 kept=rng.random() < 0.6,
                 address=await self._line(node, rng.choice(DELAYS_S)),
@@ -160,6 +161,10 @@
         ledger.results["stops"] += len(record.stops)
 
 
+def _same(node: NodeProcess) -> NodeProcess:
+    return node
+
+
 async def run_stops(options: Options) -> Ledger:
     """Run one seed; return what callers, leaves and the operator saw."""
     async with trio.open_nursery() as nursery:
--- a/tests/soak/test_stops.py
+++ b/tests/soak/test_stops.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import random
 import signal
 import tempfile
@@ -13,8 +14,10 @@
 
 import trio
 
+from tests.soak.balancer import Balancer
 from tests.soak.nodes import CALLER_PORT
 from tests.soak.nodes import GRACE_S
+from tests.soak.run import DOMAINS
 from tests.soak.run import Options
 from tests.soak.run import Soak
 from tests.soak.stops import DelayLine
@@ -38,6 +41,12 @@
 CALLERS = 24
 CALLER_PER_S = 5.0
 WORKS_MS = (100.0, 400.0)
+# Nodes of three failure domains that are stopped in turn, and callers of all domains.
+MANY_NODES = 7
+STOPS_APART_S = 0.4
+DOMAIN_CALLERS = 60
+DOMAIN_CALLER_PER_S = 5.0
+SEARCHES = 0.3
 # Share of the processor of a node on a busy host.
 BUSY_SHARE = 0.3
 SLOW_LINE_S = 0.13
@@ -59,6 +68,22 @@
         for _ in range(count):
             self._start(self._caller(kept), per_s, works_ms)
 
+    def add_callers_of_domains(self) -> None:
+        """Add callers of all failure domains that the balancer sends to nodes."""
+        balancer = Balancer(nodes=self.soak.nodes, rng=random.Random(f"balancer {SEED}"))
+        self.nursery.start_soon(balancer.run)
+        for number in range(DOMAIN_CALLERS):
+            caller = StopCaller(
+                name=f"d{number}",
+                choose=functools.partial(balancer.choose, DOMAINS[number % len(DOMAINS)]),
+                record=self.record,
+                kept=number % 3 > 0,
+            )
+            rng = random.Random(f"{SEED} {number}")
+            self.nursery.start_soon(
+                keep_asking, caller, DOMAIN_CALLER_PER_S, WORKS_MS, rng, SEARCHES
+            )
+
     async def add_distant_callers(
         self, count: int, per_s: float, works_ms: tuple[float, float]
     ) -> None:
@@ -72,7 +97,7 @@
         self._callers += 1
         return StopCaller(
             name=f"c{self._callers}",
-            node=self.node,
+            choose=lambda: self.node,
             record=self.record,
             kept=kept,
             address=address,
@@ -99,9 +124,9 @@
 
 
 class StopsTest(unittest.TestCase):
-    def run_world(self, body: Callable[[World], Awaitable[None]]) -> None:
+    def run_world(self, body: Callable[[World], Awaitable[None]], nodes: int = NODES) -> None:
         async def main(folder: Path) -> None:
-            options = Options(SEED, 0.0, nodes=NODES, callers=0, folder=folder)
+            options = Options(SEED, 0.0, nodes=nodes, callers=0, folder=folder)
             async with trio.open_nursery() as nursery:
                 soak = Soak(options=options, nursery=nursery)
                 try:
@@ -137,6 +162,23 @@
 
         self.run_world(body)
 
+    def test_requests_at_leaves_are_cut_as_the_nodes_of_a_failure_domain_are_stopped_in_turn(
+        self,
+    ) -> None:
+        """Guards against kills where the balancer has no other node of the callers' failure domain."""
+
+        async def body(world: World) -> None:
+            world.add_callers_of_domains()
+            await trio.sleep(STEADY_S)
+            async with trio.open_nursery() as stops:
+                for node in sorted(world.soak.nodes, key=lambda node: node.domain):
+                    stops.start_soon(stop, node, world.record, GRACE_S)
+                    await trio.sleep(STOPS_APART_S)
+            await trio.sleep(NOTICED_S)
+            self.check(world)
+
+        self.run_world(body, nodes=MANY_NODES)
+
     def test_requests_at_leaves_are_cut_as_the_stop_was_asked_while_the_process_loaded(
         self,
     ) -> None:
