--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/daemon.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/daemon.py
@@ -12,8 +12,6 @@
 
 import trio
 
-from returns.result import Failure
-
 from cactussaddle_core.codes import ResultCode
 from cactussaddle_core.edge import effects as fx
 from cactussaddle_core.edge import events as ev
@@ -38,6 +36,7 @@
 from cactussaddle_node.edge.guard import TaskGuard
 from cactussaddle_node.edge.leafcaller import LeafCaller
 from cactussaddle_node.edge.metrics import Metrics
+from cactussaddle_node.edge.records import RecordWriter
 from cactussaddle_platform import callers
 from cactussaddle_platform import leaves
 
@@ -54,8 +53,6 @@
     from cactussaddle_node.edge.caller import CallerConnection
     from cactussaddle_node.edge.caller import Dropped
     from cactussaddle_node.edge.listener import Listener
-    from cactussaddle_platform.registry import RolloutRecords
-    from cactussaddle_platform.registry import TrialRecords
     from cactussaddle_platform.settings import HostSettings
 
 # Event-loop passes after which each task has read the data that was already available, so that
@@ -85,13 +82,11 @@
             started_at=trio.current_time(),
         )
         self.guard = TaskGuard(report=self._report_error)
+        self.records = RecordWriter(nursery=nursery, guard=self.guard, log=self.log, feed=self.feed)
         self.leaf_caller = LeafCaller(
             nursery=nursery, wire=leaves, local_host=cfg.ip, feed=self.feed, guard=self.guard
         )
         self.place_changed: Callable[[TreePosition], None] | None = None
-        self.rollout_records: RolloutRecords | None = None
-        self.trial_records: TrialRecords | None = None
-        self._nursery = nursery
         self.datagrams = Datagrams(host=cfg.ip, peer_port=cfg.peer_port, feed=self.feed)
         self.stopped = trio.Event()
         # Set, and replaced by a new event, whenever this node's entry is removed from the store.
@@ -334,52 +329,6 @@
         gone, self.entry_gone = self.entry_gone, trio.Event()
         gone.set()
 
-    def _record_rollout(self, effect: RecordRollout) -> None:
-        self._nursery.start_soon(self.guard.run_once, "roll-out status", self._write_status, effect)
-
-    async def _write_status(self, effect: RecordRollout) -> None:
-        if self.rollout_records is None:
-            return
-        written = await self.rollout_records.write(effect)
-        if isinstance(written, Failure):
-            reason = written.failure().detail
-        elif not written.unwrap():
-            reason = "rollout order or status was changed concurrently"
-        else:
-            return
-        failed = log.RolloutWriteFailed(effect.order.move, effect.state.value, reason)
-        self.log.write(failed, trio.current_time())
-
-    def _write_trial(self, effect: WriteTrial) -> None:
-        self._nursery.start_soon(self.guard.run_once, "trial record", self._send_trial, effect)
-
-    async def _send_trial(self, effect: WriteTrial) -> None:
-        revision = None
-        reason = "no store"
-        if self.trial_records is not None:
-            written = await self.trial_records.write(effect)
-            if isinstance(written, Failure):
-                reason = written.failure().detail
-            else:
-                revision = written.unwrap()
-                reason = "changed concurrently"
-        if revision is None:
-            self._log_trial_failure(effect.record.fingerprint, reason)
-        self.feed(ev.TrialWritten(effect, revision))
-
-    def _remove_trial(self, effect: RemoveTrial) -> None:
-        self._nursery.start_soon(self.guard.run_once, "trial record", self._send_removal, effect)
-
-    async def _send_removal(self, effect: RemoveTrial) -> None:
-        if self.trial_records is None:
-            return
-        removed = await self.trial_records.remove(effect)
-        if isinstance(removed, Failure):
-            self._log_trial_failure(effect.fingerprint, removed.failure().detail)
-
-    def _log_trial_failure(self, fingerprint: str, reason: str) -> None:
-        self.log.write(log.TrialWriteFailed(fingerprint, reason), trio.current_time())
-
     def _end_process(self, effect: fx.EndProcess) -> None:
         now = trio.current_time()
         if self._listener is None or self._listener.end(now, forced=effect.forced):
@@ -416,9 +365,9 @@
     fx.SendLeaving: lambda daemon, effect: daemon.datagrams.send_leaving(effect),
     fx.SendEvidence: lambda daemon, effect: daemon.datagrams.send_evidence(effect),
     fx.SendLeaderUpdate: lambda daemon, effect: daemon.datagrams.send_news(effect),
-    RecordRollout: EdgeDaemon._record_rollout,
-    WriteTrial: EdgeDaemon._write_trial,
-    RemoveTrial: EdgeDaemon._remove_trial,
+    RecordRollout: lambda daemon, effect: daemon.records.record_rollout(effect),
+    WriteTrial: lambda daemon, effect: daemon.records.write_trial(effect),
+    RemoveTrial: lambda daemon, effect: daemon.records.remove_trial(effect),
     fx.EndProcess: EdgeDaemon._end_process,
 }
 
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/serve.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/serve.py
@@ -70,8 +70,8 @@
             )
         )
         store = KvStore(address=cfg.store.address._replace(local_host=cfg.ip), nursery=nursery)
-        daemon.rollout_records = RolloutRecords(store=store)
-        daemon.trial_records = TrialRecords(store=store)
+        daemon.records.rollouts = RolloutRecords(store=store)
+        daemon.records.trials = TrialRecords(store=store)
         follower = Follower(
             store=StoreFeed(store=store),
             peers=PeerClient(nursery=nursery, local_host=cfg.ip),
