A request whose handling meets an unexpected error is answered

The request got no answer at all, until its caller left or a stop ended its connection. Cause: an error in the reducer, or while an answer was encoded or sent, was logged and dropped the event or the effect; the request stayed open on its connection. Evidence: tests.node.edge.test_daemon, two tests, no answer before, 502 after.

--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/daemon.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/daemon.py
@@ -127,6 +127,9 @@
             effects = reduce(self.state, event, trio.current_time())
         except Exception as exc:
             self.guard.failed(type(event).__name__, exc)
+            if isinstance(event, ev.RequestArrived):
+                self._answer_failed(event.request.req_id)
+                self._events.append(ev.CallerGone(event.request.req_id))
             return
         for effect in effects:
             self._carry_out(effect)
@@ -137,6 +140,9 @@
             _EFFECT_HANDLERS[type(effect)](self, effect)
         except Exception as exc:
             self.guard.failed(type(effect).__name__, exc)
+            number = _answered_request(effect)
+            if number is not None:
+                self._answer_failed(number)
 
     def _report_error(self, task: str, error: str, place: str) -> None:
         self.log.write(log.UnexpectedError(task, error, place), trio.current_time())
@@ -261,8 +267,22 @@
 
     def _answer(self, number: int, answer: OutgoingResponse) -> None:
         connection = self._connections.pop(number, None)
-        if connection is not None:
+        if connection is None:
+            return
+        try:
             connection.answer(number, answer)
+        except Exception:
+            connection.close()
+            raise
+
+    def _answer_failed(self, number: int) -> None:
+        """Answer a request whose handling has met an unexpected error, if it has no answer yet."""
+        message = "unexpected error"
+        failed = fanfx.Declined(number, "", ResultCode.OUTCOME_UNKNOWN, message, True, 0.0)
+        try:
+            self._answer(number, callers.encode_declined(failed))
+        except Exception as exc:
+            self.guard.failed("answer", exc)
 
     def _send_call(self, effect: fanfx.SendCall) -> None:
         query = effect.call.part.query
@@ -372,6 +392,15 @@
 }
 
 
+def _answered_request(effect: fx.Effect) -> int | None:
+    """Return the number of the request that an effect answers; None if it answers none."""
+    if isinstance(effect, fanfx.Declined):
+        return effect.req_id
+    if isinstance(effect, fanfx.Merged | fanfx.Relayed):
+        return effect.query.request.req_id
+    return None
+
+
 def rules_of(cfg: HostSettings) -> EdgeRules:
     """Return the retry-budget and cold-start limits from the settings."""
     bounds = cfg.bounds
--- a/tests/node/edge/test_daemon.py
+++ b/tests/node/edge/test_daemon.py
@@ -9,6 +9,7 @@
 
 from cactussaddle_core.edge import effects as fx
 from cactussaddle_core.edge import events as ev
+from cactussaddle_core.fanout import effects as fanfx
 from cactussaddle_core.spread.model import Member
 from cactussaddle_node.edge import daemon as daemon_module
 from cactussaddle_node.edge.daemon import EdgeDaemon
@@ -50,6 +51,45 @@
         self.assertEqual(carried_out, [1, 3])
 
 
+class UnansweredRequestTest(unittest.TestCase):
+    """A request whose handling meets an unexpected error must not wait for its answer for ever."""
+
+    def answers(self, event: Any, **patches: Any) -> list[int]:
+        """Return the statuses that the caller of request 1 gets."""
+        answered: list[int] = []
+        connection = mock.Mock()
+        connection.answer = lambda number, answer: answered.append(answer.status)
+
+        async def main() -> None:
+            async with trio.open_nursery() as nursery:
+                daemon = EdgeDaemon(cfg=decode_settings(SETTINGS), nursery=nursery)
+                daemon._connections[1] = connection
+                with daemon.datagrams:
+                    daemon.feed(event)
+
+        with mock.patch.multiple(daemon_module, **patches):
+            trio.run(main)
+        return answered
+
+    def test_a_request_that_the_reducer_fails_on_gets_no_answer(self):
+        def fail(state: Any, event: ev.Event, now: float) -> list[Any]:
+            if isinstance(event, ev.RequestArrived):
+                raise RuntimeError("unexpected error")
+            return []
+
+        request = mock.Mock(req_id=1)
+        self.assertEqual(self.answers(ev.RequestArrived(request), reduce=fail), [502])
+
+    def test_a_request_whose_answer_can_not_be_encoded_gets_none(self):
+        query = mock.Mock()
+        query.request.req_id = 1
+
+        def answer(state: Any, event: ev.Event, now: float) -> list[Any]:
+            return [fanfx.Merged(query, ("\u2603",), 0, b"")]
+
+        self.assertEqual(self.answers(ev.Tick(0.0), reduce=answer), [502])
+
+
 class OwnEntryTest(unittest.TestCase):
     def test_a_node_does_not_notice_that_its_own_entry_was_removed(self):
         own, other = (Member(name, "127.19.6.3", 7740, "north") for name in ("n1", "n2"))
