A signal sent while the process did not run is dated by the last tick before its arrival

Cause: the last tick was read when the signal was handled; after a pause the timers may run before, so that the pause was forgotten and the whole grace period counted from its end. Why this works: the handler notes the last tick as the signal arrives; it runs before any task does.

--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/daemon.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/daemon.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 import random
 
 from collections import Counter
@@ -17,11 +16,9 @@
 from cactussaddle_core.edge import events as ev
 from cactussaddle_core.edge import logevents as log
 from cactussaddle_core.edge.reduce import reduce
-from cactussaddle_core.edge.state import HOUSEKEEPING_S
 from cactussaddle_core.edge.state import EdgeIdentity
 from cactussaddle_core.edge.state import EdgeRules
 from cactussaddle_core.edge.state import EdgeState
-from cactussaddle_core.edge.stopping import longest_ago_s
 from cactussaddle_core.fanout import effects as fanfx
 from cactussaddle_core.fanout.trace import request_ended
 from cactussaddle_core.hold.trials import RemoveTrial
@@ -87,6 +84,7 @@
             nursery=nursery, wire=leaves, local_host=cfg.ip, feed=self.feed, guard=self.guard
         )
         self.place_changed: Callable[[TreePosition], None] | None = None
+        self.ticked: Callable[[], None] | None = None
         self.datagrams = Datagrams(host=cfg.ip, peer_port=cfg.peer_port, feed=self.feed)
         self.stopped = trio.Event()
         # Set, and replaced by a new event, whenever this node's entry is removed from the store.
@@ -98,8 +96,6 @@
         self._last_request_number = 0
         self._timer_changed = trio.Event()
         self._sleeping_until = 0.0
-        # Infinity before the first tick.
-        self._ticked_at = math.inf
         self._listener: Listener | None = None
         # Callers' connections that were still open as the process ended.
         self.connections_left = 0
@@ -161,18 +157,14 @@
             for _ in range(READ_PASSES):
                 await trio.lowlevel.checkpoint()
             self.feed(ev.Tick(late_s))
-            now = self._ticked_at = trio.current_time()
+            now = trio.current_time()
+            if self.ticked is not None:
+                self.ticked()
             self.log.flush(now)
             if now >= sweep_at:
                 sweep_at = now + SWEEP_INTERVAL_S
                 self.leaf_caller.sweep(now)
 
-    def stop(self, grace_s: float, waited_s: float) -> None:
-        """Begin a graceful shutdown, as asked by a signal that arrived `waited_s` ago."""
-        since_tick_s = trio.current_time() - self._ticked_at
-        ago_s = longest_ago_s(waited_s, since_tick_s, HOUSEKEEPING_S)
-        self.feed(ev.StopAsked(grace_s, ago_s))
-
     def hooks(self, listener: Listener) -> CallerHooks:
         """Return the callbacks for callers' connections on a listener."""
         self._listener = listener
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/serve.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/serve.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import os
 import random
 import signal
@@ -12,7 +13,10 @@
 import trio
 
 from cactussaddle_core.edge import effects as fx
+from cactussaddle_core.edge import events as ev
 from cactussaddle_core.edge import logevents as log
+from cactussaddle_core.edge.state import HOUSEKEEPING_S
+from cactussaddle_core.edge.stopping import longest_ago_s
 from cactussaddle_core.invariants import set_handler
 from cactussaddle_node.edge.daemon import EdgeDaemon
 from cactussaddle_node.edge.daemon import rules_of
@@ -41,6 +45,7 @@
     from collections.abc import Callable
     from pathlib import Path
 
+    from cactussaddle_node.signals import ReceivedSignal
     from cactussaddle_node.signals import SignalInbox
     from cactussaddle_platform.settings import HostSettings
 
@@ -61,6 +66,7 @@
     """
     async with trio.open_nursery() as nursery:
         daemon = EdgeDaemon(cfg=cfg, nursery=nursery)
+        daemon.ticked = inbox.record_run
         guard = daemon.guard
         set_handler(daemon.breach)
         limits = cfg.limits
@@ -131,6 +137,12 @@
     daemon.metrics.load()
 
 
+def _longest_ago_s(received: ReceivedSignal) -> float:
+    now = time.monotonic()
+    since_tick_s = now - received.ran_at if math.isfinite(received.ran_at) else 0.0
+    return longest_ago_s(now - received.at, since_tick_s, HOUSEKEEPING_S)
+
+
 def _guarded(daemon: EdgeDaemon, reload: Callable[[], None]) -> None:
     """Reload the settings; an unexpected error must not lose the signals that wait behind it."""
     try:
@@ -153,6 +165,6 @@
             else:
                 _guarded(daemon, reloader.reload_changed)
                 grace_s = reloader.cfg.bounds.shutdown_grace_s
-                daemon.stop(grace_s, time.monotonic() - received.at)
+                daemon.feed(ev.StopAsked(grace_s, _longest_ago_s(received)))
     finally:
         inbox.notify(None)
--- a/packages/cactussaddle-node/src/cactussaddle_node/signals.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/signals.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 import signal
 import time
 
@@ -21,10 +22,15 @@
 
 
 class ReceivedSignal(NamedTuple):
-    """A signal, and the monotonic time in seconds at which the process received it."""
+    """A signal, and the monotonic time in seconds at which the process received it.
+
+    The process was last known to run at `ran_at`, before it received the signal; minus infinity if it
+    was not watched.
+    """
 
     number: int
     at: float
+    ran_at: float
 
 
 class SignalInbox:
@@ -33,6 +39,7 @@
     def __init__(self) -> None:
         self._received: deque[ReceivedSignal] = deque()
         self._notify: Callable[[], object] | None = None
+        self._ran_at = -math.inf
 
     def install(self) -> None:
         """Install the handlers; they are never removed."""
@@ -43,11 +50,15 @@
         """Call `callback` whenever a signal arrives, in the main thread between any two instructions."""
         self._notify = callback
 
+    def record_run(self) -> None:
+        """Record that the process runs."""
+        self._ran_at = time.monotonic()
+
     def take(self) -> ReceivedSignal | None:
         """Remove and return the oldest signal, if there is one."""
         return self._received.popleft() if self._received else None
 
     def _receive(self, number: int, frame: FrameType | None) -> None:
-        self._received.append(ReceivedSignal(number, time.monotonic()))
+        self._received.append(ReceivedSignal(number, time.monotonic(), self._ran_at))
         if self._notify is not None:
             self._notify()
--- a/tests/soak/test_stops.py
+++ b/tests/soak/test_stops.py
@@ -50,6 +50,7 @@
 # Share of the processor of a node on a busy host.
 BUSY_SHARE = 0.3
 SLOW_LINE_S = 0.13
+PAUSED_S = 1.5
 
 
 class World:
@@ -192,6 +193,21 @@
 
         self.run_world(body)
 
+    def test_requests_at_leaves_are_cut_as_the_stop_was_asked_while_the_process_was_paused(
+        self,
+    ) -> None:
+        async def body(world: World) -> None:
+            world.add_callers(CALLERS, CALLER_PER_S, WORKS_MS, kept=False)
+            await trio.sleep(STEADY_S)
+            async with trio.open_nursery() as nursery:
+                world.node.signal(signal.SIGSTOP)
+                nursery.start_soon(world.stop)
+                await trio.sleep(PAUSED_S)
+                world.node.signal(signal.SIGCONT)
+            self.check(world)
+
+        self.run_world(body)
+
     def test_requests_on_slow_lines_are_read_and_dropped_as_their_connections_close(self) -> None:
         async def body(world: World) -> None:
             await world.add_distant_callers(30, 4.0, (2.0, 20.0))
