--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/serve.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/serve.py
@@ -157,14 +157,20 @@
     inbox.notify(lambda: token.run_sync_soon(arrived.unpark_all, idempotent=True))
     try:
         while True:
-            received = inbox.take()
+            received = inbox.oldest()
             if received is None:
                 await arrived.park()
-            elif received.number == signal.SIGHUP:
-                _guarded(daemon, reloader.reload)
-            else:
-                _guarded(daemon, reloader.reload_changed)
-                grace_s = reloader.cfg.bounds.shutdown_grace_s
-                daemon.feed(ev.StopAsked(grace_s, _longest_ago_s(received)))
+                continue
+            _handle_signal(daemon, reloader, received)
+            inbox.remove_oldest()
     finally:
         inbox.notify(None)
+
+
+def _handle_signal(daemon: EdgeDaemon, reloader: Reloader, received: ReceivedSignal) -> None:
+    if received.number == signal.SIGHUP:
+        _guarded(daemon, reloader.reload)
+        return
+    _guarded(daemon, reloader.reload_changed)
+    grace_s = reloader.cfg.bounds.shutdown_grace_s
+    daemon.feed(ev.StopAsked(grace_s, _longest_ago_s(received)))
--- a/packages/cactussaddle-node/src/cactussaddle_node/signals.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/signals.py
@@ -34,7 +34,7 @@
 
 
 class SignalInbox:
-    """Keeps the signals that the process receives until they are taken."""
+    """Keeps the signals that the process receives until they are handled."""
 
     def __init__(self) -> None:
         self._received: deque[ReceivedSignal] = deque()
@@ -54,9 +54,13 @@
         """Record that the process runs."""
         self._ran_at = time.monotonic()
 
-    def take(self) -> ReceivedSignal | None:
-        """Remove and return the oldest signal, if there is one."""
-        return self._received.popleft() if self._received else None
+    def oldest(self) -> ReceivedSignal | None:
+        """Return the oldest signal, which stays until it is removed; None if there is none."""
+        return self._received[0] if self._received else None
+
+    def remove_oldest(self) -> None:
+        """Remove the oldest signal, as it has been handled."""
+        self._received.popleft()
 
     def _receive(self, number: int, frame: FrameType | None) -> None:
         self._received.append(ReceivedSignal(number, time.monotonic(), self._ran_at))
--- a/tests/node/test_signals.py
+++ b/tests/node/test_signals.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import math
 import os
 import signal
 import time
@@ -21,11 +22,27 @@
         for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP):
             os.kill(os.getpid(), number)
         ended = time.monotonic()
-        received = [self.inbox.take() for _ in range(3)]
-        numbers = [one.number for one in received if one is not None]
+        received = []
+        while (oldest := self.inbox.oldest()) is not None:
+            received.append(oldest)
+            self.inbox.remove_oldest()
+        numbers = [one.number for one in received]
         self.assertEqual(numbers, [signal.SIGHUP, signal.SIGTERM, signal.SIGHUP])
-        self.assertTrue(all(one is not None and began <= one.at <= ended for one in received))
-        self.assertIsNone(self.inbox.take())
+        self.assertTrue(all(began <= one.at <= ended for one in received))
+
+    def test_a_signal_whose_handling_fails_is_forgotten(self) -> None:
+        os.kill(os.getpid(), signal.SIGTERM)
+        first = self.inbox.oldest()
+        self.assertIsNotNone(first)
+        self.assertIs(self.inbox.oldest(), first)
+
+    def test_a_signal_knows_when_the_process_last_ran(self) -> None:
+        os.kill(os.getpid(), signal.SIGHUP)
+        self.inbox.record_run()
+        os.kill(os.getpid(), signal.SIGHUP)
+        ran_at = [one.ran_at for one in self.inbox._received]
+        self.assertEqual(ran_at[0], -math.inf)
+        self.assertLessEqual(ran_at[1], time.monotonic())
 
     def test_who_waits_is_told_of_each_signal(self) -> None:
         told: list[int] = []
