A signal sent while the loading process did not run is dated by its start

Cause: before the first tick nothing was known of when the process had run, so a pause until then was not seen. Why this works: the inbox notes when it was made, and each step of the loading after that.

--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/stopping.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/stopping.py
@@ -23,13 +23,13 @@
 PROGRESS_INTERVAL_S = 0.5
 
 
-def longest_ago_s(waited_s: float, since_tick_s: float, tick_interval_s: float) -> float:
+def longest_ago_s(waited_s: float, since_run_s: float, tick_interval_s: float) -> float:
     """Return how long ago a request to stop may have been made that has waited in this process.
 
-    A process that is not running receives the request late, so it may have been made at any time
-    since the last tick, `since_tick_s` ago, except for the usual interval of ticks.
+    A process that is not running receives the request late, so it may have been made at any time since
+    the process was last known to run, `since_run_s` ago, except for the usual interval of ticks.
     """
-    return max(waited_s, since_tick_s - tick_interval_s)
+    return max(waited_s, since_run_s - tick_interval_s)
 
 
 class StopPhase(enum.StrEnum):
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/main.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/main.py
@@ -37,6 +37,7 @@
     except SettingsError as exc:
         print(f"cactussaddle-node: settings: {exc}", file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
+    inbox.record_run()
     trio.run(serve, cfg, path, metrics_port, callers, inbox)
     # The interpreter's finalization takes time, and gives signals back their default actions.
     os._exit(os.EX_OK)
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/serve.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/serve.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 import os
 import random
 import signal
@@ -139,8 +138,7 @@
 
 def _longest_ago_s(received: ReceivedSignal) -> float:
     now = time.monotonic()
-    since_tick_s = now - received.ran_at if math.isfinite(received.ran_at) else 0.0
-    return longest_ago_s(now - received.at, since_tick_s, HOUSEKEEPING_S)
+    return longest_ago_s(now - received.at, now - received.ran_at, HOUSEKEEPING_S)
 
 
 def _guarded(daemon: EdgeDaemon, reload: Callable[[], None]) -> None:
--- a/packages/cactussaddle-node/src/cactussaddle_node/main.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/main.py
@@ -21,8 +21,10 @@
         from cactussaddle_node.startup import listen_for_callers
 
         callers = listen_for_callers(settings_path)
+        inbox.record_run()
         from cactussaddle_node.edge.main import run_on_platform
 
+        inbox.record_run()
         run_on_platform(settings_path, callers, inbox)
         return
     from cactussaddle_node.standalone import run_standalone
--- a/packages/cactussaddle-node/src/cactussaddle_node/signals.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/signals.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import math
 import signal
 import time
 
@@ -24,8 +23,7 @@
 class ReceivedSignal(NamedTuple):
     """A signal, and the monotonic time in seconds at which the process received it.
 
-    The process was last known to run at `ran_at`, before it received the signal; minus infinity if it
-    was not watched.
+    The process was last known to run at `ran_at`, before it received the signal.
     """
 
     number: int
@@ -39,7 +37,7 @@
     def __init__(self) -> None:
         self._received: deque[ReceivedSignal] = deque()
         self._notify: Callable[[], object] | None = None
-        self._ran_at = -math.inf
+        self._ran_at = time.monotonic()
 
     def install(self) -> None:
         """Install the handlers; they are never removed."""
@@ -51,7 +49,7 @@
         self._notify = callback
 
     def record_run(self) -> None:
-        """Record that the process runs."""
+        """Record that the process runs; a signal that arrives later may have been sent since then."""
         self._ran_at = time.monotonic()
 
     def oldest(self) -> ReceivedSignal | None:
--- a/tests/core/edge/test_stopping.py
+++ b/tests/core/edge/test_stopping.py
@@ -39,7 +39,7 @@
     """The grace period runs from the platform's signal, not from its handling."""
 
     def test_a_signal_that_waited_while_the_process_loaded_is_taken_for_a_new_one(self):
-        self.assertEqual(longest_ago_s(1.4, -math.inf, 0.1), 1.4)
+        self.assertEqual(longest_ago_s(1.4, 1.45, 0.1), 1.4)
 
     def test_a_signal_sent_while_the_process_did_not_run_is_taken_for_a_new_one(self):
         self.assertAlmostEqual(longest_ago_s(0.01, 2.0, 0.1), 1.9)
--- a/tests/node/test_signals.py
+++ b/tests/node/test_signals.py
@@ -1,6 +1,5 @@
 from __future__ import annotations
 
-import math
 import os
 import signal
 import time
@@ -37,12 +36,13 @@
         self.assertIs(self.inbox.oldest(), first)
 
     def test_a_signal_knows_when_the_process_last_ran(self) -> None:
+        before = time.monotonic()
         os.kill(os.getpid(), signal.SIGHUP)
         self.inbox.record_run()
         os.kill(os.getpid(), signal.SIGHUP)
         ran_at = [one.ran_at for one in self.inbox._received]
-        self.assertEqual(ran_at[0], -math.inf)
-        self.assertLessEqual(ran_at[1], time.monotonic())
+        self.assertLess(ran_at[0], before)
+        self.assertGreater(ran_at[1], before)
 
     def test_who_waits_is_told_of_each_signal(self) -> None:
         told: list[int] = []
--- a/tests/soak/stops.py
+++ b/tests/soak/stops.py
@@ -30,6 +30,7 @@
 CONNECT_S = 1.0
 QUOTA_PERIOD_S = 0.1
 GONE_POLL_S = 0.01
+UPLOAD = b"u" * 20_000
 GONE = (trio.BrokenResourceError, trio.ClosedResourceError, h11.RemoteProtocolError, OSError)
 
 
@@ -197,8 +198,11 @@
         self._http = h11.Connection(h11.CLIENT)
         self._used = False
 
-    async def ask(self, path: str, deadline_s: float) -> Sent:
-        """Send one request, and note what came of it."""
+    async def ask(self, path: str, deadline_s: float, upload_s: float = 0.0) -> Sent:
+        """Send one request, and note what came of it; with `upload_s` its body comes in halves so far apart.
+
+        A request counts as sent when its last byte was.
+        """
         self._count += 1
         request = f"{self._name}-{self._count}"
         began_at = trio.current_time()
@@ -209,8 +213,10 @@
         sent_at = trio.current_time()
         status = -2
         try:
-            with trio.move_on_after(deadline_s + 1.0):
-                status = await self._exchange(request, path, deadline_s)
+            with trio.move_on_after(deadline_s + upload_s + 1.0):
+                await self._send(request, path, deadline_s, upload_s)
+                sent_at = trio.current_time()
+                status = await self._read()
         except GONE:
             status = 0
         sent = self._note(request, path, sent_at, status)
@@ -245,16 +251,26 @@
             await trio.aclose_forcefully(self._stream)
         self._stream = None
 
-    async def _exchange(self, request: str, path: str, deadline_s: float) -> int:
+    async def _send(self, request: str, path: str, deadline_s: float, upload_s: float) -> None:
         assert self._stream is not None
+        body = UPLOAD if upload_s else b""
         headers = [
             ("Host", HOST),
             ("Request-Id", request),
             ("Deadline-Ms", str(int(deadline_s * 1000))),
+            ("Content-Length", str(len(body))),
         ]
-        head = h11.Request(method="GET", target=path, headers=headers)
-        parts = [self._http.send(head), self._http.send(h11.EndOfMessage())]
-        await self._stream.send_all(b"".join(part or b"" for part in parts))
+        head = h11.Request(method="POST" if body else "GET", target=path, headers=headers)
+        first = [self._http.send(head), self._http.send(h11.Data(data=body[: len(body) // 2]))]
+        await self._stream.send_all(b"".join(part or b"" for part in first))
+        if upload_s:
+            await trio.sleep(upload_s)
+        rest = [self._http.send(h11.Data(data=body[len(body) // 2 :]))]
+        rest.append(self._http.send(h11.EndOfMessage()))
+        await self._stream.send_all(b"".join(part or b"" for part in rest) or b"")
+
+    async def _read(self) -> int:
+        assert self._stream is not None
         status = 0
         while True:
             event = self._http.next_event()
@@ -280,17 +296,19 @@
     works_ms: tuple[float, float],
     rng: random.Random,
     searches: float = 0.0,
+    uploads: float = 0.0,
 ) -> None:
     """Send requests with random pauses, each with a work time drawn from a range, until cancelled.
 
-    A share of the requests are `searches` over all shards.
+    Shares of the requests are `searches` over all shards, and `uploads` in two halves.
     """
     while True:
         await trio.sleep(rng.expovariate(per_s))
         if rng.random() < searches:
             await caller.ask("/g/x", 1.5)
-        else:
-            await caller.ask(f"/w/{rng.uniform(*works_ms):.0f}", 8.0)
+            continue
+        upload_s = rng.uniform(0.0, 0.8) if rng.random() < uploads else 0.0
+        await caller.ask(f"/w/{rng.uniform(*works_ms):.0f}", 8.0, upload_s)
 
 
 async def listens(node: NodeProcess) -> bool:
--- a/tests/soak/stopsoak.py
+++ b/tests/soak/stopsoak.py
@@ -34,16 +34,22 @@
 DELAYS_S = (0.0, 0.0, 0.002, 0.02, 0.06, 0.15)
 WORKS_MS = ((5.0, 30.0), (50.0, 300.0), (300.0, 2500.0))
 PER_S = (1.0, 6.0)
+SEARCHES = 0.2
+UPLOADS = (0.0, 0.0, 0.3)
 # Shares of the processor of nodes on busy hosts, and how many nodes are on one as they stop.
 SHARES = (0.3, 0.5)
 BUSY_FRACTION = 0.3
+PAUSES_S = (0.0, 0.0, 0.0, 0.4, 1.2)
 STOPS_PER_S = 0.4
 MORE_LEAVES = 12
 CONFIG_EVERY_S = (0.5, 3.0)
 
 
 class StopPlan(NamedTuple):
-    """One stop: when and which node, how many SIGTERMs, whether SIGHUPs come between, on what share."""
+    """One stop: when and which node, how many SIGTERMs, how many SIGHUPs between, on what share.
+
+    The process is paused as the first signal is sent, for `paused_s`.
+    """
 
     at: float
     which: int
@@ -51,6 +57,7 @@
     apart_s: float
     reloads: int
     share: float
+    paused_s: float
 
 
 def draw_stops(rng: random.Random, seconds: float, nodes: int) -> list[StopPlan]:
@@ -67,6 +74,7 @@
                 apart_s=rng.uniform(0.002, 0.4),
                 reloads=rng.choice((0, 0, 1, 3)),
                 share=rng.choice(SHARES) if is_busy else 1.0,
+                paused_s=0.0 if is_busy else rng.choice(PAUSES_S),
             )
         )
     return plans
@@ -95,7 +103,10 @@
                 address=await self._line(node, rng.choice(DELAYS_S)),
             )
             works_ms = rng.choice(WORKS_MS)
-            self._nursery.start_soon(keep_asking, caller, rng.uniform(*PER_S), works_ms, rng)
+            uploads = rng.choice(UPLOADS)
+            self._nursery.start_soon(
+                keep_asking, caller, rng.uniform(*PER_S), works_ms, rng, SEARCHES, uploads
+            )
 
     async def _line(self, node: NodeProcess, delay_s: float) -> tuple[str, int]:
         if not delay_s:
@@ -122,6 +133,8 @@
             if plan.share < 1.0:
                 nursery.start_soon(throttle, node, plan.share)
             nursery.start_soon(self._reload, node, plan)
+            if plan.paused_s:
+                nursery.start_soon(_pause, node, plan.paused_s)
             await stop(node, self.record, GRACE_S, plan.signals, plan.apart_s)
             nursery.cancel_scope.cancel()
         self._stopping.discard(node.name)
@@ -161,6 +174,16 @@
         ledger.results["stops"] += len(record.stops)
 
 
+async def _pause(node: NodeProcess, for_s: float) -> None:
+    child = node.child
+    assert child is not None
+    child.send_signal(signal.SIGSTOP)
+    try:
+        await trio.sleep(for_s)
+    finally:
+        child.send_signal(signal.SIGCONT)
+
+
 def _same(node: NodeProcess) -> NodeProcess:
     return node
 
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -125,7 +125,7 @@
         prefixes = [{route["prefix"] for route in config["routes"]} for config in written]
         self.assertIn(f"/v{first.version}/", prefixes[1])
         self.assertIn(f"/v{second.version}/", prefixes[1])
-        self.assertEqual(prefixes[2], {"/g/", "/p/", "/o/", f"/v{third.version}/"})
+        self.assertEqual(prefixes[2], {"/g/", "/p/", "/o/", "/w/", f"/v{third.version}/"})
         self.assertEqual((first.dropped_by, first.dropped_at), (third.version, 20.0))
 
 
--- a/tests/soak/test_stops.py
+++ b/tests/soak/test_stops.py
@@ -108,13 +108,17 @@
         rng = random.Random(f"{SEED} {self._callers}")
         self.nursery.start_soon(keep_asking, caller, per_s, works_ms, rng)
 
-    async def load_again(self) -> None:
-        """Kill the node; return when its next process listens, and still loads on its small share."""
+    async def start_again(self, share: float = 1.0) -> None:
+        """Kill the node; return when its next process listens, while it still loads.
+
+        With a `share` it gets that of the processor from then on.
+        """
         starts = self.node.starts
         self.node.signal(signal.SIGKILL)
         while self.node.starts == starts:
             await trio.sleep(0.005)
-        self.nursery.start_soon(throttle, self.node, BUSY_SHARE)
+        if share < 1.0:
+            self.nursery.start_soon(throttle, self.node, share)
         while not await listens(self.node):
             await trio.sleep(0.01)
 
@@ -187,7 +191,7 @@
             world.add_callers(CALLERS // 2, CALLER_PER_S, WORKS_MS, kept=True)
             world.add_callers(CALLERS // 2, CALLER_PER_S, WORKS_MS, kept=False)
             await trio.sleep(STEADY_S)
-            await world.load_again()
+            await world.start_again(BUSY_SHARE)
             await world.stop()
             self.check(world)
 
@@ -208,6 +212,24 @@
 
         self.run_world(body)
 
+    def test_requests_at_leaves_are_cut_as_the_stop_was_asked_while_the_loading_process_was_paused(
+        self,
+    ) -> None:
+        """Guards against soak seed 416."""
+
+        async def body(world: World) -> None:
+            world.add_callers(CALLERS, CALLER_PER_S, WORKS_MS, kept=False)
+            await trio.sleep(STEADY_S)
+            await world.start_again()
+            async with trio.open_nursery() as nursery:
+                world.node.signal(signal.SIGSTOP)
+                nursery.start_soon(world.stop)
+                await trio.sleep(PAUSED_S)
+                world.node.signal(signal.SIGCONT)
+            self.check(world)
+
+        self.run_world(body)
+
     def test_requests_on_slow_lines_are_read_and_dropped_as_their_connections_close(self) -> None:
         async def body(world: World) -> None:
             await world.add_distant_callers(30, 4.0, (2.0, 20.0))
