A request that has come in part as a node ends is refused, not just dropped

What callers saw: an upload of which half had come when a stopping node ended its connection got no answer. Cause: the end of a connection looked at whole requests only. Why this works: it gets 503 with the time to come back, which is true: it has not run.

--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/caller.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/caller.py
@@ -25,11 +25,14 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from cactussaddle_common.http.message import Headers
     from cactussaddle_common.http.requestreader import IncomingRequest
     from cactussaddle_core.routing.model import CallerLimits
 
 READ_BYTES = 65_536
 REQUEST_TIMEOUT_STATUS = 408
+STOPPING_STATUS = 503
+STOPPING_HEADERS = ((b"Retry-After", b"0.1"),)
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # Maximum number of pipelined requests; beyond it no further request is read from the connection.
 MAX_PIPELINED_REQUESTS = 16
@@ -177,10 +180,14 @@
     def finish(self) -> None:
         """Accept no further requests; pending answers are written before the connection closes.
 
-        What the caller sends from now on is left unread.
+        What the caller sends from now on is left unread. A request that has come in part is refused.
         """
-        if not self._ended:
-            self._leaves_unread = True
+        if self._ended:
+            return
+        self._leaves_unread = True
+        if self._reader.started and not self.finishing and self._current_number is None:
+            self._refuse(STOPPING_STATUS, "node is shutting down", STOPPING_HEADERS)
+        else:
             self._finish()
 
     def close(self) -> None:
@@ -312,10 +319,9 @@
         self._request_count += 1
         self._hooks.request_received(number, self, request)
 
-    def _refuse(self, status: int, message: str) -> None:
-        self._send_buffer.write(
-            encode_response(OutgoingResponse(status, (), message.encode()), False)
-        )
+    def _refuse(self, status: int, message: str, headers: Headers = ()) -> None:
+        response = OutgoingResponse(status, headers, message.encode())
+        self._send_buffer.write(encode_response(response, False))
         self._finish()
 
     def _finish(self) -> None:
--- a/tests/node/edge/test_listener.py
+++ b/tests/node/edge/test_listener.py
@@ -161,6 +161,20 @@
 
         self.run_node(body, at_once=False)
 
+    def test_a_request_that_has_come_in_part_is_dropped_without_an_answer(self):
+        async def body(node, listener, stream):
+            await stream.send_all(b"POST /a HTTP/1.1\r\nContent-Length: 20\r\n\r\nhalf")
+            await wait_for(lambda: not listener.end(later(), forced=False))
+            await wait_for(lambda: any(one._reader.started for one in listener.connections))
+            self.assertTrue(listener.end(later(), forced=True))
+            answer = await read_until(stream, b"shutting down")
+            self.assertIn(b" 503 ", answer)
+            self.assertIn(b"Retry-After: 0.1", answer)
+            self.assertEqual(await stream.receive_some(), b"")
+            self.assertEqual(node.arrived, [])
+
+        self.run_node(body)
+
     def test_a_caller_that_closes_a_connection_at_its_end_is_not_gone(self):
         async def body(node, listener, stream):
             await stream.send_all(b"GET /a HTTP/1.1\r\n\r\n")
