--- a/packages/cactussaddle-common/src/cactussaddle_common/http/channel.py
+++ b/packages/cactussaddle-common/src/cactussaddle_common/http/channel.py
@@ -140,6 +140,8 @@
         self.exchange: Exchange | None = None
         self.idle_since = 0.0
         self.linger_until: float | None = None
+        # Whether the peer has ended the idle connection before its time.
+        self.dropped = False
         self._nursery = nursery
         self._connect_timeout_s = connect_timeout_s
         self._on_connected = on_connected
@@ -258,12 +260,14 @@
             self._close_with(ExchangeFailure.CANCELLED, "")
             return
         except OSError as exc:
+            self.dropped = self.exchange is None
             self._close_with(ExchangeFailure.RESET, str(exc))
             return
         self._handle_data(data)
 
     def _handle_data(self, data: bytes) -> None:
         if self.exchange is None:
+            self.dropped = not data and trio.current_time() < self.idle_until
             self._close_with(ExchangeFailure.CLOSED, "" if not data else "received data while idle")
             return
         try:
--- a/packages/cactussaddle-common/src/cactussaddle_common/http/pool.py
+++ b/packages/cactussaddle-common/src/cactussaddle_common/http/pool.py
@@ -32,12 +32,17 @@
 )
 
 
+def _ignore_drop() -> None:
+    """Do nothing."""
+
+
 class PoolSettings(NamedTuple):
     """Settings of a pool.
 
     At most `max_connections` are open at a time, and `on_open` is called with the time that opening
     each one took. `allowance` limits the unfinished bodies of all pools that share it. If responses
     don't identify their requests, an idle connection `is_checked` for unread data before it is reused.
+    `on_drop` is called when the peer ends an idle connection before its time.
     """
 
     max_connections: int
@@ -45,6 +50,7 @@
     on_open: Callable[[float], None]
     allowance: BodyAllowance | None = None
     is_checked: bool = False
+    on_drop: Callable[[], None] = _ignore_drop
 
 
 class Ticket:
@@ -229,6 +235,8 @@
         self.channels.discard(channel)
         if channel in self._idle:
             self._idle.remove(channel)
+        if channel.dropped:
+            self._settings.on_drop()
         self._start_queued()
 
 
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/events.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/events.py
@@ -74,6 +74,12 @@
     took_s: float
 
 
+class ConnectionDropped(NamedTuple):
+    """A leaf has ended an idle connection before its time."""
+
+    leaf: str
+
+
 class ProbeEnded(NamedTuple):
     """A health probe of a leaf has ended; this node was itself busy for `busy_s` of its time."""
 
@@ -308,6 +314,7 @@
     | CallLeft
     | CallEnded
     | Connected
+    | ConnectionDropped
     | ProbeEnded
     | TableSeen
     | LeavesListed
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/reduce.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/reduce.py
@@ -151,6 +151,13 @@
     return []
 
 
+def _connection_dropped(state: EdgeState, event: ev.ConnectionDropped, now: float) -> list[Effect]:
+    leaf = state.fleet.leaves.get(event.leaf)
+    if leaf is not None:
+        leaf.doubt(now)
+    return []
+
+
 def _probe_ended(state: EdgeState, event: ev.ProbeEnded, now: float) -> list[Effect]:
     health = event.health
     leaf = state.fleet.leaves.get(event.leaf)
@@ -399,6 +406,7 @@
     ev.CallLeft: _call_left,
     ev.CallEnded: _call_ended,
     ev.Connected: _connected,
+    ev.ConnectionDropped: _connection_dropped,
     ev.ProbeEnded: _probe_ended,
     ev.TableSeen: _table_seen,
     ev.LeavesListed: _leaves_listed,
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/state.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/state.py
@@ -17,6 +17,7 @@
 from cactussaddle_core.edge.stopping import GracefulStop
 from cactussaddle_core.fanout.state import FanoutState
 from cactussaddle_core.fleet.fleet import Fleet
+from cactussaddle_core.fleet.model import Availability
 from cactussaddle_core.hashing import unit_interval
 from cactussaddle_core.limits.budget import RetryBudget
 from cactussaddle_core.limits.cold import calls_per_second
@@ -130,7 +131,7 @@
             fleet=self.fleet,
             budget=self.budget,
             rollouts=self.rollouts,
-            may_call=self.may_call,
+            may_call=self.may_send,
             cold_calls=self.cold_calls,
             ran_well=self.crashes.record_success,
             own_domain=me.domain,
@@ -149,10 +150,25 @@
         """Return whether a new call may go to a leaf."""
         if not self.fleet.may_get_calls(leaf, now):
             return False
-        if leaf.may_be_cold(now) and leaf.cold_meter.count(now) >= self.cold_calls(leaf, now):
+        if self._is_cold_share_spent(leaf, now):
             return False
         return leaf.limit_per_s is None or self._quota(leaf, leaf.limit_per_s, now).allows(now)
 
+    def may_send(self, leaf: Leaf, now: float) -> bool:
+        """Return whether a new call may go to a leaf; find out if it is cold where only a doubt forbids it."""
+        if self.may_call(leaf, now):
+            return True
+        is_in_use = leaf.availability is Availability.READY and self.fleet.may_get_calls(leaf, now)
+        if leaf.is_doubted and is_in_use and self._is_cold_share_spent(leaf, now):
+            leaf.confirm(now)
+        return False
+
+    def _is_cold_share_spent(self, leaf: Leaf, now: float) -> bool:
+        """Return whether a leaf that is or may be cold gets no more calls of this node now."""
+        if not leaf.may_be_cold(now):
+            return False
+        return leaf.cold_meter.count(now) >= self.cold_calls(leaf, now)
+
     def _quota(self, leaf: Leaf, limit_per_s: float, now: float) -> Quota:
         """Return this node's quota at a limited leaf, with its rate kept up to date."""
         if leaf.quota is None:
--- a/packages/cactussaddle-core/src/cactussaddle_core/fanout/sending.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fanout/sending.py
@@ -74,8 +74,7 @@
     if choice.distance is not Distance.OWN and leaf.host_pace is not None:
         answer_bytes = state.timings.answer_bytes(part.query.route)
         state.leavings.sent(choice.distance, choice.why, answer_bytes + CALL_BYTES)
-    if leaf.may_be_cold(now):
-        leaf.cold_meter.record_call(now)
+    leaf.cold_meter.record_call(now)
     if leaf.quota is not None:
         leaf.quota.take()
     require_may_be_sent(state, call, now)
--- a/packages/cactussaddle-core/src/cactussaddle_core/fleet/applyhints.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fleet/applyhints.py
@@ -57,6 +57,7 @@
         leaf.record_probe(hint.amount, now)
         leaf.probes.postpone(leaf.name, later)
     elif hint.kind is HintKind.DOWN:
+        leaf.doubt(now)
         if leaf.availability is Availability.READY:
             leaf.availability = Availability.SUSPECT
             leaf.probes.schedule(leaf.name, now + DOWN_CHECK_S * drawn)
--- a/packages/cactussaddle-core/src/cactussaddle_core/fleet/fleet.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fleet/fleet.py
@@ -31,6 +31,7 @@
     from cactussaddle_core.fleet.model import LeafEntry
     from cactussaddle_core.fleet.model import LeafNotice
     from cactussaddle_core.fleet.model import Load
+    from cactussaddle_core.limits.cold import ColdMeter
 
 # Leaves whose entries expired during an outage register again within about two seconds of its end.
 REREGISTRATION_S = 2.3
@@ -79,6 +80,8 @@
         self._limit_changes: dict[str, LeafLimited] = {}
         self._tracked: dict[str, tuple[Availability, bool, str]] = {}
         self._outage_ended_at = -math.inf
+        # Those of leaves that were dropped, in case they come back.
+        self._dropped_meters: dict[str, ColdMeter] = {}
 
     def leaves_of(self, service: str) -> list[Leaf]:
         """Return the leaves of a service, including those about to be dropped."""
@@ -110,7 +113,8 @@
         if leaf is None or _restarted(leaf.entry, entry):
             if leaf is not None:
                 self._newly_down.append(DownLeaf(leaf, ended=True))
-            started = Leaf(entry=entry, probes=self.probes, now=now)
+            meter = self._take_meter(entry.leaf)
+            started = Leaf(entry=entry, probes=self.probes, now=now, cold_meter=meter)
             started.said_leaving = (
                 entry.born_ms != 0 and self._left.get(entry.leaf) == entry.born_ms
             )
@@ -130,6 +134,7 @@
             return
         leaf.listed = False
         leaf.drop_at = now
+        leaf.doubt(now)
         if not leaf.is_leaving:
             leaf.drop_at = max(now, self._outage_ended_at + REREGISTRATION_S)
 
@@ -140,10 +145,18 @@
             if not leaf.is_leaving:
                 self._newly_down.append(DownLeaf(leaf, ended=True))
             del self.leaves[leaf.name]
+            self._dropped_meters[leaf.name] = leaf.cold_meter
             self.limited.pop(leaf.name, None)
             self.by_service[leaf.entry.service].remove(leaf)
+        for name in [name for name, meter in self._dropped_meters.items() if not meter.count(now)]:
+            del self._dropped_meters[name]
         return dropped
 
+    def _take_meter(self, name: str) -> ColdMeter | None:
+        """Return the meter of a leaf that is known already, or was until a moment ago."""
+        known = self.leaves.get(name)
+        return known.cold_meter if known is not None else self._dropped_meters.pop(name, None)
+
     def next_sweep(self) -> float:
         """Return when the next leaf is due to be dropped."""
         return min((leaf.drop_at for leaf in self.leaves.values()), default=math.inf)
--- a/packages/cactussaddle-core/src/cactussaddle_core/fleet/leaf.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fleet/leaf.py
@@ -56,15 +56,26 @@
     the leaf had sent nothing since they left. `host_pace` is None unless the leaf reports the pace of its
     host.
     `baseline_only` is set while a probe is scheduled for no other reason than to learn its usual time.
+    `doubted_at` is when this node last saw a sign that the leaf may have started again (infinitely long ago if a
+    probe has shown since whether it is cold), and `probing_since` when the probe under way was sent.
     """
 
-    def __init__(self, *, entry: LeafEntry, probes: ProbePlan, now: float) -> None:
+    def __init__(
+        self,
+        *,
+        entry: LeafEntry,
+        probes: ProbePlan,
+        now: float,
+        cold_meter: ColdMeter | None = None,
+    ) -> None:
         self.entry = entry
         self.probes = probes
         self.listed = True
         self.drop_at = math.inf
         self.cold_until = now + entry.cold_left_s if entry.cold_left_s > 0.0 else 0.0
-        self.cold_meter = ColdMeter()
+        self.cold_meter = cold_meter if cold_meter is not None else ColdMeter()
+        self.doubted_at = -math.inf
+        self.probing_since = math.inf
         self.waiting: dict[int, float] = {}
         self.connection_limit = 1
         self.displaced = False
@@ -113,9 +124,40 @@
         """Return whether the leaf is still limited to its cold rate."""
         return now < self.cold_until
 
+    @property
+    def is_doubted(self) -> bool:
+        """Whether the leaf may have started again, and nothing has shown since whether it is cold."""
+        return math.isfinite(self.doubted_at)
+
     def may_be_cold(self, now: float) -> bool:
-        """Return whether the leaf is cold, or is down and so may be starting again."""
-        return now < self.cold_until or self.availability is Availability.DOWN
+        """Return whether the leaf is cold, or may have started again."""
+        return now < self.cold_until or self.is_doubted
+
+    def doubt(self, now: float) -> None:
+        """Record a sign that the leaf may have started again.
+
+        An answer to a call does not tell whether it is cold, a probe does.
+        """
+        self.doubted_at = now
+
+    def probe_began(self, now: float) -> None:
+        """Record that a probe is sent."""
+        self.probing_since = now
+
+    def probe_ended(self) -> None:
+        """Record that the probe under way has ended."""
+        self.probing_since = math.inf
+
+    def confirm(self, now: float) -> None:
+        """Have a probe show whether the leaf is cold, unless one is under way that will."""
+        if not self.doubted_at <= self.probing_since < math.inf:
+            self.baseline_only = False
+            self.probes.schedule(self.name, now)
+
+    def temperature_shown(self) -> None:
+        """Record that the probe under way, if sent since the last doubt, has shown whether the leaf is cold."""
+        if self.doubted_at <= self.probing_since < math.inf:
+            self.doubted_at = -math.inf
 
     def is_stalled(self, now: float) -> bool:
         """Return whether a call is overdue: the leaf may be paused or unreachable."""
@@ -202,6 +244,7 @@
         """Record that a call of the request broke; schedule a probe to check that the leaf is up."""
         self.broken = [entry for entry in self.broken if now - entry[0] < LOST_CALL_RETENTION_S]
         self.broken.append((now, fingerprint))
+        self.doubt(now)
         self.baseline_only = False
         self.probes.schedule(self.name, now)
 
@@ -235,6 +278,7 @@
     def suspect(self, availability: Availability, now: float) -> None:
         """Avoid the leaf with exponential back-off, and schedule a probe for the end of it."""
         self.availability = availability
+        self.doubt(now)
         self.suspect_until = now + self.suspect_backoff_s
         self.baseline_only = False
         self.probes.schedule(self.name, self.suspect_until)
--- a/packages/cactussaddle-core/src/cactussaddle_core/fleet/probing.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fleet/probing.py
@@ -71,7 +71,10 @@
     for leaf in due:
         if now < leaf.pause_until:
             fleet.probes.schedule(leaf.name, leaf.pause_until)
-    return [leaf for leaf in due if now >= leaf.pause_until]
+    sent = [leaf for leaf in due if now >= leaf.pause_until]
+    for leaf in sent:
+        leaf.probe_began(now)
+    return sent
 
 
 def _is_baseline_known(fleet: Fleet, leaf: Leaf) -> bool:
@@ -85,6 +88,12 @@
     leaf = fleet.leaves.get(name)
     if leaf is None:
         return
+    _apply(fleet, leaf, health, now, busy_s)
+    leaf.probe_ended()
+
+
+def _apply(fleet: Fleet, leaf: Leaf, health: ProbeResult, now: float, busy_s: float) -> None:
+    name = leaf.name
     is_own_delay = health.end is ProbeOutcome.SILENT and busy_s >= MAX_BUSY_S
     if health.end is ProbeOutcome.RESET or is_own_delay:
         fleet.probes.schedule(name, now + RESET_RETRY_S)
@@ -104,6 +113,7 @@
         return
     if health.cold_left_s is not None:
         leaf.set_cold_left(health.cold_left_s, now)
+    leaf.temperature_shown()
     fleet.track_availability(leaf, f"probe took {1000.0 * health.work_s:.0f} ms", now)
     was_down = leaf.availability is Availability.DOWN
     leaf.answered(now)
--- a/packages/cactussaddle-core/src/cactussaddle_core/limits/cold.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/limits/cold.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
@@ -41,16 +42,25 @@
 
 
 class ColdMeter:
-    """Counts this node's calls to one leaf in the last second."""
+    """Counts this node's calls to one leaf in the last second.
+
+    It counts all calls and outlives the leaf's restarts: those sent before the node has learned that the
+    leaf is cold count as well.
+    """
 
     def __init__(self) -> None:
-        self._sent: list[float] = []
+        self._sent: deque[float] = deque()
 
     def record_call(self, now: float) -> None:
         """Count a call."""
-        self._sent = [at for at in self._sent if now - at < WINDOW_S]
+        self._evict_old(now)
         self._sent.append(now)
 
     def count(self, now: float) -> int:
         """Return the number of calls in the last second."""
-        return sum(1 for at in self._sent if now - at < WINDOW_S)
+        self._evict_old(now)
+        return len(self._sent)
+
+    def _evict_old(self, now: float) -> None:
+        while self._sent and now - self._sent[0] >= WINDOW_S:
+            self._sent.popleft()
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/leafcaller.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/leafcaller.py
@@ -154,7 +154,8 @@
         pool = self._pools.get(leaf.name)
         if pool is None:
             opened = functools.partial(self._on_connected, leaf)
-            settings = PoolSettings(1, CONNECT_TIMEOUT_S, opened, self._allowance)
+            dropped = functools.partial(self._on_dropped, leaf)
+            settings = PoolSettings(1, CONNECT_TIMEOUT_S, opened, self._allowance, on_drop=dropped)
             pool = self._pools[leaf.name] = Pool(
                 address=self._address(leaf), nursery=self._nursery, settings=settings
             )
@@ -166,6 +167,9 @@
     def _on_connected(self, leaf: Leaf, took_s: float) -> None:
         self._feed(ev.Connected(leaf.name, took_s))
 
+    def _on_dropped(self, leaf: Leaf) -> None:
+        self._feed(ev.ConnectionDropped(leaf.name))
+
     def _call_ended(self, call: Call, end: ExchangeResult) -> None:
         is_suspect = self._tickets.pop(call.call_id, None) is not None
         pool = self._pools.get(call.leaf.name)
--- a/tests/common/http/test_channel.py
+++ b/tests/common/http/test_channel.py
@@ -450,6 +450,31 @@
 
         run(serve_requests, body)
 
+    def test_an_idle_connection_that_the_peer_ends_before_its_time_is_reported(self):
+        for header, told in ((b"Keep-Alive: timeout=5\r\n", 1), (b"Keep-Alive: timeout=0\r\n", 0)):
+            with self.subTest(header=header):
+                drops: list[int] = []
+
+                async def close_soon(stream, header=header):
+                    async with stream:
+                        await read_request(stream)
+                        await stream.send_all(reply(b"ok", header))
+                        await trio.sleep(0.1)
+
+                async def main(close_soon=close_soon, drops=drops):
+                    async with served(close_soon) as address, trio.open_nursery() as nursery:
+                        settings = PoolSettings(
+                            1, 0.5, lambda took_s: None, on_drop=lambda: drops.append(1)
+                        )
+                        pool = Pool(address=address, nursery=nursery, settings=settings)
+                        await fetch(pool, REQUEST, 1.0)
+                        await trio.sleep(0.3)
+                        pool.abort()
+                        nursery.cancel_scope.cancel()
+
+                trio.run(main)
+                self.assertEqual(len(drops), told)
+
     def test_fresh_exchange_never_uses_an_idle_connection(self):
         async def body(pool):
             await fetch(pool, REQUEST, 1.0)
