Limits are divided by a roster in the store that no lease ends; the reserve of a started process is a grant (BUDGET, FAILBACK)

Cause, by reading: the retry allowance, the rate of a cold leaf and a leaf's named limit were divided by the nodes that are registered, or were in the last 15 s. A process that starts while leases have ended, or has no listing yet, knows of few, or assumed 16. And each process had a reserve of .2 of the budget in its first window, so three within a window had .8 + .4.

Each node now has a record in the store without a lease, written with its entry; limits are divided by these. A node has a share once it has read its own record (3 s later if that is new), and until it has not heard of the store for 240 s; without a share it calls no cold leaf and makes extra calls by its own requests alone. Records of nodes that were unregistered for 300 s are removed. The reserve is granted once a window for each node, as the record tells. Log event limit_shares, gauges cactussaddle_sharing_nodes and cactussaddle_retries, and the state dump tell by how many nodes this one divides, of how many registered, with which reserve, and what it has spent.

--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/effects.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/effects.py
@@ -56,6 +56,12 @@
     """This node's own entry was removed from the store while the node runs."""
 
 
+class RemoveFromRoster(NamedTuple):
+    """Remove a node that has long been unregistered from those that share the common limits."""
+
+    node: str
+
+
 class SetTreePosition(NamedTuple):
     """Follow the store from this position in the tree."""
 
@@ -135,6 +141,7 @@
     | KeepConnections
     | LogEvent
     | OwnEntryGone
+    | RemoveFromRoster
     | SetTreePosition
     | SendHints
     | SendCrashes
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/events.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/events.py
@@ -26,6 +26,7 @@
     from cactussaddle_core.hold.trials import WriteTrial
     from cactussaddle_core.limits.leaflimit import LimitNote
     from cactussaddle_core.limits.leaflimit import TrafficReport
+    from cactussaddle_core.limits.roster import Enrolment
     from cactussaddle_core.rollouts.model import LeaderUpdate
     from cactussaddle_core.rollouts.model import RolloutOrder
     from cactussaddle_core.rollouts.model import RolloutStatus
@@ -143,6 +144,25 @@
     members: tuple[Member, ...]
 
 
+class RosterListed(NamedTuple):
+    """The complete list of the nodes that share the common limits."""
+
+    nodes: frozenset[str]
+
+
+class RosterChanged(NamedTuple):
+    """A node was added to those that share the common limits, or was removed."""
+
+    node: str
+    listed: bool
+
+
+class Enrolled(NamedTuple):
+    """This node is written down among those that share the common limits."""
+
+    enrolment: Enrolment
+
+
 class RolloutsListed(NamedTuple):
     """The complete lists of roll-out orders and roll-out statuses."""
 
@@ -325,6 +345,9 @@
     | MemberSeen
     | MemberGone
     | MembersListed
+    | RosterListed
+    | RosterChanged
+    | Enrolled
     | RolloutsListed
     | RolloutOrdered
     | RolloutCleared
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/logevents.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/logevents.py
@@ -140,6 +140,24 @@
     store_at: int
 
 
+class LimitShares(NamedTuple):
+    """By how many nodes the common limits are divided, of which `registered` are registered now.
+
+    0 if this node has no share yet. `has_reserve` tells whether it may spend in its first window.
+    """
+
+    nodes: int
+    registered: int
+    has_reserve: bool
+
+
+class RemovedFromRoster(NamedTuple):
+    """A node that has long been unregistered no longer counts; `reason` is why it could not be removed."""
+
+    gone: str
+    reason: str
+
+
 class DomainsOut(NamedTuple):
     """The failure domains whose leaves get no new calls."""
 
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/logpriority.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/logpriority.py
@@ -27,6 +27,7 @@
 from cactussaddle_core.edge.logevents import LeafUnlisted
 from cactussaddle_core.edge.logevents import LeavesDropped
 from cactussaddle_core.edge.logevents import LeavesListed
+from cactussaddle_core.edge.logevents import LimitShares
 from cactussaddle_core.edge.logevents import LinesDropped
 from cactussaddle_core.edge.logevents import MembersChanged
 from cactussaddle_core.edge.logevents import QueryDelegated
@@ -35,6 +36,7 @@
 from cactussaddle_core.edge.logevents import RegistrationLost
 from cactussaddle_core.edge.logevents import Reloaded
 from cactussaddle_core.edge.logevents import ReloadFailed
+from cactussaddle_core.edge.logevents import RemovedFromRoster
 from cactussaddle_core.edge.logevents import RequestEnded
 from cactussaddle_core.edge.logevents import RequestHeld
 from cactussaddle_core.edge.logevents import RequestRefused
@@ -100,6 +102,8 @@
     TableInForce,
     RecordRejected,
     MembersChanged,
+    LimitShares,
+    RemovedFromRoster,
     DomainsOut,
     RolloutOrdered,
     RolloutStatus,
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/reduce.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/reduce.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -12,6 +14,7 @@
 from cactussaddle_core.edge.effects import KeepConnections
 from cactussaddle_core.edge.effects import LogEvent
 from cactussaddle_core.edge.effects import OwnEntryGone
+from cactussaddle_core.edge.effects import RemoveFromRoster
 from cactussaddle_core.edge.effects import SendCrashes
 from cactussaddle_core.edge.effects import SetTreePosition
 from cactussaddle_core.edge.effects import TellDuty
@@ -282,6 +285,41 @@
     return [*effects, OwnEntryGone()] if own_entry_gone else effects
 
 
+def _roster_listed(state: EdgeState, event: ev.RosterListed, now: float) -> list[Effect]:
+    state.roster.listed(event.nodes, now)
+    return []
+
+
+def _roster_changed(state: EdgeState, event: ev.RosterChanged, now: float) -> list[Effect]:
+    if event.listed:
+        state.roster.seen(event.node)
+        return []
+    state.roster.gone(event.node, now)
+    return [OwnEntryGone()] if event.node == state.me.node else []
+
+
+def _enrolled(state: EdgeState, event: ev.Enrolled, now: float) -> list[Effect]:
+    state.roster.enrolled(event.enrolment, now)
+    state.budget.has_reserve = event.enrolment.has_reserve
+    return []
+
+
+def _review_shares(state: EdgeState, now: float) -> list[Effect]:
+    """Bring this node's share up to date; remove nodes that are long gone from the roster."""
+    nodes = state.sharing_nodes(now)
+    state.budget.nodes = len(nodes) or math.inf
+    effects: list[Effect] = []
+    shares = log.LimitShares(len(nodes), len(state.members), state.budget.has_reserve)
+    if shares != state.logged_shares:
+        state.logged_shares = shares
+        effects.append(LogEvent(shares))
+    if state.store_up:
+        effects += [RemoveFromRoster(name) for name in state.roster.overdue(state.members, now)]
+    else:
+        state.roster.store_lost()
+    return effects
+
+
 def _duty_news(state: EdgeState, event: ev.DutyNews, now: float) -> list[Effect]:
     return [TellDuty(event.event)]
 
@@ -349,7 +387,7 @@
     effects += [
         decline_not_loaded(pending.request) for pending in state.pending_requests.take_overdue(now)
     ]
-    state.budget.nodes = state.member_count(now)
+    effects += _review_shares(state, now)
     runs.record_open_runs(state.fanout, now)
     effects += _sweep(state, now)
     effects += _keep_connections(state, now)
@@ -417,6 +455,9 @@
     ev.MemberSeen: _member_seen,
     ev.MemberGone: _member_gone,
     ev.MembersListed: _members_listed,
+    ev.RosterListed: _roster_listed,
+    ev.RosterChanged: _roster_changed,
+    ev.Enrolled: _enrolled,
     ev.RolloutsListed: rollouts_listed,
     ev.RolloutOrdered: rollout_ordered,
     ev.RolloutCleared: rollout_cleared,
--- a/packages/cactussaddle-core/src/cactussaddle_core/edge/state.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/edge/state.py
@@ -27,6 +27,7 @@
 from cactussaddle_core.limits.leaflimit import Traffic
 from cactussaddle_core.limits.leaflimit import share
 from cactussaddle_core.limits.members import RecentMembers
+from cactussaddle_core.limits.roster import Roster
 from cactussaddle_core.rollouts.rollouts import Rollouts
 from cactussaddle_core.routing.split import WeightedRoundRobin
 from cactussaddle_core.routing.table import CurrentTable
@@ -36,6 +37,7 @@
 if TYPE_CHECKING:
     from cactussaddle_core.delegation.model import Delegated
     from cactussaddle_core.edge.features import Features
+    from cactussaddle_core.edge.logevents import LimitShares
     from cactussaddle_core.fanout.state import Query
     from cactussaddle_core.fleet.leaf import Leaf
     from cactussaddle_core.limits.budget import BudgetRules
@@ -43,8 +45,7 @@
     from cactussaddle_core.routing.model import ServiceSpec
     from cactussaddle_core.spread.model import Member
 
-# Number of nodes assumed until the members are known. Too high a number makes this node's share of
-# the common limits small, but never exceeds the limits.
+# Number of nodes assumed until the members are known, for the connections to a leaf.
 ASSUMED_MEMBERS = 16
 HOUSEKEEPING_S = 0.1
 WARM_CONNECTIONS = 1
@@ -103,6 +104,8 @@
         self.fleet = Fleet()
         self.members: dict[str, Member] = {}
         self.recent_members = RecentMembers()
+        self.roster = Roster(node=me.node)
+        self.logged_shares: LimitShares | None = None
         self.traffic = Traffic(node=me.node)
         self._shares: dict[tuple[str, frozenset[str]], float] = {}
         self._shares_valid_until = 0.0
@@ -125,7 +128,9 @@
         # Connections that are to be opened in advance once no request is open.
         self.warming_owed = False
         self.housekeeping_at = 0.0
-        self.budget = RetryBudget(rules=rules.budget, nodes=ASSUMED_MEMBERS, started_at=started_at)
+        self.budget = RetryBudget(
+            rules=rules.budget, nodes=math.inf, started_at=started_at, has_reserve=False
+        )
         self.rollouts = Rollouts(node=me.node, incarnation=str(seed))
         self.fanout = FanoutState(
             fleet=self.fleet,
@@ -201,7 +206,7 @@
             region_of_node={
                 name: region_of.get(member.domain, "") for name, member in self.members.items()
             },
-            node_count=self.member_count(now),
+            node_count=self.share_count(now),
             leaf_region=leaf_region,
             service_regions=service_regions,
         )
@@ -284,13 +289,24 @@
         self.gatherer_count = len(running) if len(running) < len(members) else 0
         self.recent_members.saw(members, now)
         self.rollouts.set_members(members, now)
-        self.budget.nodes = self.member_count(now)
+        self.budget.nodes = self.share_count(now)
         self.delegates.set_members(members.values())
 
     def member_count(self, now: float) -> int:
-        """Return the number of nodes by which the common limits are divided."""
+        """Return the number of nodes that are registered, or were a short time ago."""
         return self.recent_members.count(now) or ASSUMED_MEMBERS
 
+    def sharing_nodes(self, now: float) -> frozenset[str]:
+        """Return the nodes by which the common limits are divided; none if this node has no share."""
+        away_s = 0.0 if self.store_up or self.store_lost_at is None else now - self.store_lost_at
+        if not self.roster.has_share(away_s, now):
+            return frozenset()
+        return self.roster.names.union(self.recent_members.names(now))
+
+    def share_count(self, now: float) -> float:
+        """Return the number of nodes by which the common limits are divided; infinity without a share."""
+        return len(self.sharing_nodes(now)) or math.inf
+
     def _is_same_region(self, leaf: Leaf) -> bool:
         region_of = self.me.region_of
         return region_of.get(leaf.entry.domain) == region_of.get(self.me.domain)
@@ -313,5 +329,7 @@
         spec = table.services.get(leaf.entry.service) if table is not None else None
         if spec is None or spec.cold_rate <= 0.0:
             return math.inf
-        members = self.recent_members.names(now) or [self.me.node]
-        return calls_per_second(self.rules.cold, spec.cold_rate, leaf.name, self.me.node, members)
+        nodes = self.sharing_nodes(now)
+        if not nodes:
+            return 0.0
+        return calls_per_second(self.rules.cold, spec.cold_rate, leaf.name, self.me.node, nodes)
--- a/packages/cactussaddle-core/src/cactussaddle_core/limits/budget.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/limits/budget.py
@@ -2,7 +2,8 @@
 
 For each service, all nodes together may make extra calls up to a ratio of its requests plus a fixed
 allowance. Each node applies the ratio to its own requests and gets an equal share of the allowance,
-so the total stays within the limit without coordination.
+so the total stays within the limit without coordination. A node that has no share makes calls by its own requests
+alone.
 """
 
 from __future__ import annotations
@@ -15,8 +16,8 @@
 BUCKETS = 20
 # Fraction of the budget that is used; the rest is for nodes that have restarted.
 SAFETY_FACTOR = 0.8
-# Fraction of its usual budget that a node has in its first window: what it spent before a restart
-# still counts, and all nodes may restart at once.
+# Fraction of its usual budget that a node has in its first window, as a reserve: what it spent before a restart
+# still counts, and all nodes may restart at once. Without a grant of the reserve it has none.
 RESTART_FACTOR = 0.25
 
 
@@ -28,6 +29,14 @@
     window_s: float
 
 
+class BudgetAccount(NamedTuple):
+    """One node's requests and extra calls for a service in the current window, and the calls left."""
+
+    requests: int
+    spent: int
+    left: float
+
+
 class _Window:
     """Counts of requests and extra calls for one service in the current window."""
 
@@ -53,14 +62,24 @@
 class RetryBudget:
     """Tracks the extra calls that this node may still make, by service.
 
-    The process started at `started_at`, in seconds of the monotonic clock.
+    The allowance is divided by `nodes`, infinity if this node has no share. The process started at
+    `started_at`, in seconds of the monotonic clock.
     """
 
-    def __init__(self, *, rules: BudgetRules, nodes: int, started_at: float = -math.inf) -> None:
+    def __init__(
+        self,
+        *,
+        rules: BudgetRules,
+        nodes: float,
+        started_at: float = -math.inf,
+        has_reserve: bool = True,
+    ) -> None:
         self.rules = rules
+        self.has_reserve = has_reserve
         self._started_at = started_at
-        self.nodes = max(1, nodes)
+        self.nodes = max(1.0, nodes)
         self.denied = 0
+        self.spent = 0
         self._bucket_s = rules.window_s / BUCKETS
         self._windows: dict[str, _Window] = {}
 
@@ -75,7 +94,7 @@
         window, _ = self._window(service, now)
         usable = SAFETY_FACTOR
         if now - self._started_at < self.rules.window_s:
-            usable *= RESTART_FACTOR
+            usable *= RESTART_FACTOR if self.has_reserve else 0.0
         budget = self.rules.ratio * window.requests + self.rules.allowance / self.nodes
         return usable * budget - window.extras
 
@@ -87,6 +106,7 @@
         window, index = self._window(service, now)
         window.current(index)[2] += 1
         window.extras += 1
+        self.spent += 1
         return True
 
     def refund(self, service: str, now: float) -> None:
@@ -96,6 +116,11 @@
             window.current(index)[2] -= 1
             window.extras -= 1
 
+    def account(self, service: str, now: float) -> BudgetAccount:
+        """Return what this node's budget for a service is made of now."""
+        window, _ = self._window(service, now)
+        return BudgetAccount(window.requests, window.extras, self.left(service, now))
+
     def _window(self, service: str, now: float) -> tuple[_Window, int]:
         index = int(now / self._bucket_s)
         window = self._windows.get(service)
--- a/packages/cactussaddle-core/src/cactussaddle_core/limits/cold.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/limits/cold.py
@@ -14,7 +14,7 @@
 from cactussaddle_core.hashing import rendezvous
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Collection
 
 WINDOW_S = 1.0
 # Fraction of the configured rate that is used, because nodes may briefly disagree on the members.
@@ -29,7 +29,7 @@
 
 
 def calls_per_second(
-    rules: ColdRules, rate: float, leaf: str, node: str, members: Sequence[str]
+    rules: ColdRules, rate: float, leaf: str, node: str, members: Collection[str]
 ) -> int:
     """Return how many calls per second this node may send to a cold leaf."""
     allowed = int(SAFETY_FACTOR * (rate * rules.over + rules.slack))
--- a/packages/cactussaddle-core/src/cactussaddle_core/limits/leaflimit.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/limits/leaflimit.py
@@ -109,12 +109,13 @@
 class Audience(NamedTuple):
     """The nodes that share a leaf's limit.
 
-    `region_of_node` holds the registered nodes, and `node_count` is how many nodes there may be. `leaf_region`
+    `region_of_node` holds the registered nodes, and `node_count` is how many nodes there may be, infinity if this
+    node has no share. `leaf_region`
     is the leaf's region, `service_regions` those that have leaves of its service.
     """
 
     region_of_node: Mapping[str, str]
-    node_count: int
+    node_count: float
     leaf_region: str
     service_regions: Collection[str]
 
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/daemon.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/daemon.py
@@ -98,10 +98,13 @@
     def __init__(self, *, cfg: HostSettings, nursery: trio.Nursery) -> None:
         self.cfg = cfg
         self.log = EventLog(node=cfg.node)
+        seed = random.SystemRandom().getrandbits(32)
+        # Tells this process from earlier ones of the same node.
+        self.process = str(seed)
         self.state = EdgeState(
             me=EdgeIdentity(cfg.node, cfg.domain, cfg.region_of, delegation_cores(cfg)),
             rules=rules_of(cfg),
-            seed=random.SystemRandom().getrandbits(32),
+            seed=seed,
             started_at=trio.current_time(),
         )
         self.guard = TaskGuard(report=self._report_error)
@@ -284,6 +287,11 @@
             },
             "cactussaddle_distance_switches": {"": leavings.switches},
             "cactussaddle_members": {"": len(self.state.members)},
+            "cactussaddle_sharing_nodes": {"": len(self.state.sharing_nodes(trio.current_time()))},
+            "cactussaddle_retries": {
+                "spent": self.state.budget.spent,
+                "denied": self.state.budget.denied,
+            },
             "cactussaddle_delegates": {"": len(self.state.delegates)},
             "cactussaddle_delegated_requests": {"": len(self.state.delegated)},
             "cactussaddle_table_version": {"": table.version if table is not None else 0},
@@ -495,6 +503,7 @@
     fx.CloseIdle: EdgeDaemon._close_idle,
     fx.SetTreePosition: EdgeDaemon._set_place,
     fx.OwnEntryGone: EdgeDaemon._own_entry_gone,
+    fx.RemoveFromRoster: lambda daemon, effect: daemon.records.remove_from_roster(effect),
     fx.TellDuty: EdgeDaemon._tell_duty,
     fx.SendHints: lambda daemon, effect: daemon.datagrams.send_hints(effect),
     fx.SendCrashes: lambda daemon, effect: daemon.datagrams.send_crashes(effect),
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/dump.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/dump.py
@@ -8,6 +8,7 @@
 if TYPE_CHECKING:
     from cactussaddle_core.edge.state import EdgeState
     from cactussaddle_core.fleet.leaf import Leaf
+    from cactussaddle_core.limits.budget import BudgetAccount
     from cactussaddle_node.edge.duties import DutyRunner
     from cactussaddle_node.edge.follow import Follower
 
@@ -35,6 +36,12 @@
         "duty": duty.dump() if duty is not None else None,
         "members": sorted(state.members),
         "counted_members": state.member_count(now),
+        "limits": {
+            "roster": sorted(state.roster.names),
+            "divided_by": len(state.sharing_nodes(now)),
+            "has_reserve": state.budget.has_reserve,
+            "up_s": round(now - state.started_at, 2),
+        },
         "domains_out": sorted(state.fleet.domains_out),
         "rollouts": [
             {
@@ -48,13 +55,17 @@
         ],
         "leaves": [_leaf(state, leaf, now) for leaf in state.fleet.leaves.values()],
         "budgets": {
-            service: round(state.budget.left(service, now), 1)
+            service: _budget(state.budget.account(service, now))
             for service in sorted(table.services_in_use() if table is not None else ())
         },
         "requests": [_request(query, now) for query in state.fanout.queries.values()],
     }
 
 
+def _budget(account: BudgetAccount) -> dict[str, Any]:
+    return {**account._asdict(), "left": round(account.left, 1)}
+
+
 def _leaf(state: EdgeState, leaf: Leaf, now: float) -> dict[str, Any]:
     return {
         "leaf": leaf.name,
@@ -65,6 +76,8 @@
         "draining": leaf.entry.draining,
         "listed": leaf.listed,
         "cold_s": round(max(0.0, leaf.cold_until - now), 2),
+        "doubted": leaf.is_doubted,
+        "called_last_s": leaf.cold_meter.count(now),
         "standing": leaf.availability.value,
         "stalled": leaf.is_stalled(now),
         "slowness": round(leaf.slowness(now), 2),
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/metrics.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/metrics.py
@@ -50,6 +50,8 @@
     "cactussaddle_distance_bytes": "Estimated bytes of these calls, by distance.",
     "cactussaddle_distance_switches": "Times that a service's calls began to leave or returned.",
     "cactussaddle_members": "Nodes registered.",
+    "cactussaddle_sharing_nodes": "Nodes by which the common limits are divided.",
+    "cactussaddle_retries": "Calls beyond the first since the start, spent and denied.",
     "cactussaddle_delegates": "Nodes that may run queries of this one.",
     "cactussaddle_delegated_requests": "Queries under way on other nodes.",
     "cactussaddle_table_version": "Version of the routing table in force.",
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/records.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/records.py
@@ -14,19 +14,21 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from cactussaddle_core.edge.effects import RemoveFromRoster
     from cactussaddle_core.hold.trials import RemoveTrial
     from cactussaddle_core.hold.trials import WriteTrial
     from cactussaddle_core.rollouts.model import RecordRollout
     from cactussaddle_node.edge.eventlog import EventLog
     from cactussaddle_node.edge.guard import TaskGuard
     from cactussaddle_platform.registry import RolloutRecords
+    from cactussaddle_platform.registry import RosterRecords
     from cactussaddle_platform.registry import TrialRecords
 
 
 class RecordWriter:
     """Starts a task for each write; failures are logged, and the reducer repeats what is still due.
 
-    Nothing is written until `rollouts` and `trials` are set.
+    Nothing is written until `rollouts`, `trials` and `roster` are set.
     """
 
     def __init__(
@@ -39,6 +41,7 @@
     ) -> None:
         self.rollouts: RolloutRecords | None = None
         self.trials: TrialRecords | None = None
+        self.roster: RosterRecords | None = None
         self._nursery = nursery
         self._guard = guard
         self._log = log
@@ -54,10 +57,21 @@
         """Write a suspect's record, and feed the outcome."""
         self._nursery.start_soon(self._guard.run_once, "trial record", self._write_trial, effect)
 
+    def remove_from_roster(self, effect: RemoveFromRoster) -> None:
+        """Remove a node from the roster."""
+        self._nursery.start_soon(self._guard.run_once, "roster", self._remove_from_roster, effect)
+
     def remove_trial(self, effect: RemoveTrial) -> None:
         """Remove a suspect's record."""
         self._nursery.start_soon(self._guard.run_once, "trial record", self._remove_trial, effect)
 
+    async def _remove_from_roster(self, effect: RemoveFromRoster) -> None:
+        if self.roster is None:
+            return
+        removed = await self.roster.remove(effect.node)
+        reason = removed.failure().detail if isinstance(removed, Failure) else ""
+        self._log.write(log.RemovedFromRoster(effect.node, reason), trio.current_time())
+
     async def _write_status(self, effect: RecordRollout) -> None:
         if self.rollouts is None:
             return
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/serve.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/serve.py
@@ -41,6 +41,7 @@
 from cactussaddle_platform.names import READY_PATH
 from cactussaddle_platform.registry import NodeEntry
 from cactussaddle_platform.registry import RolloutRecords
+from cactussaddle_platform.registry import RosterRecords
 from cactussaddle_platform.registry import StoreFeed
 from cactussaddle_platform.registry import TrialRecords
 from cactussaddle_platform.usage import UsageClient
@@ -85,6 +86,7 @@
         store = KvStore(address=cfg.store.address._replace(local_host=cfg.ip), nursery=nursery)
         daemon.records.rollouts = RolloutRecords(store=store)
         daemon.records.trials = TrialRecords(store=store)
+        daemon.records.roster = RosterRecords(store=store)
         if cfg.usage is not None:
             daemon.duty = _duty(cfg, cfg.usage, daemon, store, nursery)
         follower = Follower(
@@ -136,7 +138,12 @@
         nursery.start_soon(guard.run_restarting, "timers", daemon.run_timers)
         nursery.start_soon(guard.run_restarting, "datagrams", daemon.datagrams.listen)
         nursery.start_soon(guard.run_restarting, "follower", follower.run)
-        entry = NodeEntry(store=store, cfg=cfg)
+        entry = NodeEntry(
+            store=store,
+            cfg=cfg,
+            process=daemon.process,
+            enrolled=lambda enrolment: daemon.feed(ev.Enrolled(enrolment)),
+        )
         registration = RegisterHooks(
             note=daemon.note, entry_gone=lambda: daemon.entry_gone, rng=random.Random()
         )
--- a/tests/core/edge/coldworld.py
+++ b/tests/core/edge/coldworld.py
@@ -26,6 +26,7 @@
 
 if TYPE_CHECKING:
     from cactussaddle_core.fleet.model import LeafEntry
+    from cactussaddle_core.spread.model import Member
 
 COLD_PER_S = 10.0
 COLD_S = 3.0
@@ -82,9 +83,11 @@
         super().__init__(fleet=fleet, number=number, nodes=nodes)
         self.routes[0] = gather_route(SHARDS, least=LEAST)
 
-    def load_all(self) -> None:
+    def load_all(self, registered: tuple[Member, ...] | None = None) -> None:
+        """Load the records; `registered` are the nodes whose leases have not ended, None: all."""
+        members = self.members(self._nodes)
         self.feed(ev.TableSeen(self.table(1, self._services)))
-        self.feed(ev.MembersListed(self.members(self._nodes)))
+        self.enrol(members if registered is None else registered, shared_by=members)
         now = self.now
         cold = {leaf.name: leaf.entry(now) for leaf in self.fleet.leaves.values()}
         listed = tuple(cold.get(found.leaf, found) for found in self.leaves())
@@ -155,6 +158,15 @@
             for node in self.nodes:
                 node.lose_calls(leaf)
 
+    def restart_after_lapse(self) -> None:
+        """Start all nodes anew while all leases have ended: each reads no more than its own entry."""
+        for number, node in enumerate(self.nodes):
+            fresh = ColdNode(fleet=self, number=number, nodes=len(self.nodes))
+            fresh.now = node.now
+            own = [one for one in fresh.members(len(self.nodes)) if one.node == fresh.name]
+            fresh.load_all(tuple(own))
+            self.nodes[number] = fresh
+
     def come_back(self) -> None:
         """Start the leaves of the shard again, cold; the nodes read of it one after the other."""
         for leaf in self.leaves.values():
--- a/tests/core/edge/test_cold_leaves.py
+++ b/tests/core/edge/test_cold_leaves.py
@@ -21,7 +21,7 @@
 class ColdLeavesTest(unittest.TestCase):
     """No order of events overruns a cold leaf (FAILBACK)."""
 
-    def check(self, seed: int, *, lag_s: float, accept_s: float) -> None:
+    def check(self, seed: int, *, lag_s: float, accept_s: float, restarts: bool = False) -> None:
         rng = random.Random(seed)
         nodes = rng.randrange(2, 14)
         world = ColdWorld(seed=seed, nodes=nodes, per_s=rng.uniform(60.0, 200.0), lag_s=lag_s)
@@ -30,6 +30,8 @@
         world.serve(rng.uniform(0.2, 1.5))
         for leaf in world.leaves.values():
             leaf.accept_s = accept_s
+        if restarts:
+            world.restart_after_lapse()
         world.come_back()
         world.serve(COLD_S)
         for leaf in world.leaves.values():
@@ -44,6 +46,10 @@
         for seed in range(RUNS):
             self.check(100 + seed, lag_s=0.8, accept_s=0.9)
 
+    def test_nodes_that_start_anew_while_leases_have_ended_overrun_it(self) -> None:
+        for seed in range(RUNS):
+            self.check(200 + seed, lag_s=0.2, accept_s=0.0, restarts=True)
+
 
 class DoubtTest(unittest.TestCase):
     """A leaf that may have started again counts as cold until a probe shows that it is not."""
--- a/tests/core/edge/world.py
+++ b/tests/core/edge/world.py
@@ -28,6 +28,7 @@
 from cactussaddle_core.fleet.probing import ProbeResult
 from cactussaddle_core.limits.budget import BudgetRules
 from cactussaddle_core.limits.cold import ColdRules
+from cactussaddle_core.limits.roster import Enrolment
 from cactussaddle_core.routing.model import Route
 from cactussaddle_core.routing.model import ServiceSpec
 from cactussaddle_core.routing.model import Target
@@ -160,9 +161,19 @@
     def load_all(self) -> None:
         """Deliver the routing table, the members and the leaves to the node."""
         self.feed(ev.TableSeen(self.table(1, self._services)))
-        self.feed(ev.MembersListed(self.members(self._nodes)))
+        self.enrol(self.members(self._nodes))
         self.feed(ev.LeavesListed(self.leaves()))
 
+    def enrol(
+        self, members: tuple[Member, ...], shared_by: tuple[Member, ...] | None = None
+    ) -> None:
+        """Deliver the nodes that are registered, and those that share the limits, this one as one of old."""
+        own = self.state.me.node
+        names = {member.node for member in shared_by or members} | {own}
+        self.feed(ev.RosterListed(frozenset(names)))
+        self.feed(ev.Enrolled(Enrolment(was_listed=True, has_reserve=True)))
+        self.feed(ev.MembersListed(members))
+
     def members(self, count: int) -> tuple[Member, ...]:
         return tuple(Member(f"node-{n}", "127.0.0.1", 1, HOME) for n in range(count))
 
--- a/tests/platform/test_kv.py
+++ b/tests/platform/test_kv.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import base64
+import time
 import unittest
 
 from contextlib import suppress
@@ -16,15 +17,21 @@
 from cactussaddle_core.hold.trials import RemoveTrial
 from cactussaddle_core.hold.trials import TrialRecord
 from cactussaddle_core.hold.trials import WriteTrial
+from cactussaddle_core.limits.roster import Enrolment
+from cactussaddle_core.limits.roster import RosterRecord
 from cactussaddle_core.rollouts.model import RecordRollout
 from cactussaddle_core.rollouts.model import RolloutOrder
 from cactussaddle_platform.kv import Condition
 from cactussaddle_platform.kv import KvStore
 from cactussaddle_platform.kv import Put
+from cactussaddle_platform.records import decode_roster
+from cactussaddle_platform.registry import NodeEntry
 from cactussaddle_platform.registry import RolloutRecords
 from cactussaddle_platform.registry import StoreFeed
 from cactussaddle_platform.registry import TrialRecords
+from cactussaddle_platform.settings import decode_settings
 from tests.node.edge.servers import served
+from tests.platform.test_settings import TEXT as SETTINGS
 
 WAIT_S = 0.2
 
@@ -329,5 +336,62 @@
         self.assertEqual(script.calls[2][1]["deletes"], ["cactussaddle/trials/ab"])
 
 
+class EnrolTest(unittest.TestCase):
+    """The first registration of a process reads and replaces its node's record in the roster."""
+
+    OTHER = "cactussaddle/roster/front-sierra-quito-10"
+    KEY = "cactussaddle/roster/front-sierra-quito-1"
+
+    def register(self, script: Script, times: int) -> tuple[list[Any], list[Enrolment]]:
+        enrolled: list[Enrolment] = []
+
+        async def main() -> list[Any]:
+            async with served(script.serve) as address, trio.open_nursery() as nursery:
+                store = KvStore(address=address, nursery=nursery)
+                cfg = decode_settings(SETTINGS)
+                entry = NodeEntry(store=store, cfg=cfg, process="this", enrolled=enrolled.append)
+                leases = [await entry.write_entry(20.0) for _ in range(times)]
+                store.close()
+                return leases
+
+        return trio.run(main), enrolled
+
+    def test_a_new_node(self) -> None:
+        lease = (200, {"lease": 8, "ttl_ms": 20000})
+        other = item(self.OTHER, b"{}", 3)
+        page = (200, {"items": [other], "as_of": 4})
+        script = Script(lease, page, (200, {"revision": 5}), lease, (200, {"revision": 6}))
+        leases, enrolled = self.register(script, 2)
+        self.assertEqual([one.unwrap() for one in leases], [8, 8])
+        self.assertEqual(enrolled, [Enrolment(was_listed=False, has_reserve=True)])
+        first, second = script.calls[2][1], script.calls[4][1]
+        self.assertEqual(first["precondition"], [{"key": self.KEY, "revision": 0}])
+        self.assertEqual([put["key"] for put in first["puts"]][1], self.KEY)
+        # The record outlives the lease, and each registration writes it as it was.
+        self.assertEqual([put["lease"] for put in first["puts"]], [8, 0])
+        self.assertEqual(second["puts"][1], first["puts"][1])
+
+    def test_a_node_that_was_granted_its_reserve_a_moment_ago(self) -> None:
+        granted_ms = 1000.0 * time.time() - 500.0
+        known = item(self.KEY, msgspec.json.encode(RosterRecord("earlier", granted_ms)), 3)
+        page = (200, {"items": [known], "as_of": 4})
+        lease = (200, {"lease": 8, "ttl_ms": 20000})
+        script = Script(lease, page, (200, {"revision": 5}))
+        _, enrolled = self.register(script, 1)
+        self.assertEqual(enrolled, [Enrolment(was_listed=True, has_reserve=False)])
+        written = decode_roster(base64.b64decode(script.calls[2][1]["puts"][1]["value"]))
+        self.assertEqual(written, RosterRecord("this", granted_ms))
+
+    def test_a_record_changed_meanwhile_is_read_again(self) -> None:
+        lease = (200, {"lease": 8, "ttl_ms": 20000})
+        page = (200, {"items": [], "as_of": 4})
+        no_rows: list[Any] = []
+        changed = (412, {"items": no_rows})
+        script = Script(lease, page, changed, lease, page, (200, {"revision": 6}))
+        leases, enrolled = self.register(script, 2)
+        self.assertIsInstance(leases[0], Failure)
+        self.assertEqual((leases[1].unwrap(), len(enrolled)), (8, 1))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -229,12 +229,15 @@
             Record("op/config", config(), 3),
             Record("op/evacuate/limerick", b"{}", 4),
             Record("cactussaddle/nodes/n1", encode(member), 5),
+            Record("cactussaddle/roster/n1", b"?", 5),
+            Record("cactussaddle/roster/n2", b"[]", 5),
             Record("unknown", b"x", 6),
         )
         events: dict[Any, Any] = {type(event): event for event in listing(records)}
         self.assertEqual([e.leaf for e in events[ev.LeavesListed].entries], ["i-7"])
         self.assertEqual(events[ev.DomainsListed].domains, {"limerick"})
         self.assertEqual(events[ev.MembersListed].members, (member,))
+        self.assertEqual(events[ev.RosterListed].nodes, {"n1", "n2"})
         self.assertEqual(events[ev.TableSeen].table.version, 7)
         self.assertEqual(events[ev.RecordRejected].key, "servers/bad")
 
@@ -246,6 +249,8 @@
         self.assertEqual(
             read_change(Record("cactussaddle/nodes/n1", None, 9)), [ev.MemberGone("n1")]
         )
+        left = read_change(Record("cactussaddle/roster/n1", None, 9))
+        self.assertEqual(left, [ev.RosterChanged("n1", False)])
 
     def test_a_leaf_whose_entry_becomes_malformed_is_removed(self):
         for value in (b"{}", NESTED):
