--- a/packages/cactussaddle-common/src/cactussaddle_common/http/channel.py
+++ b/packages/cactussaddle-common/src/cactussaddle_common/http/channel.py
@@ -22,6 +22,7 @@
 
     from cactussaddle_common.http.bounds import BodyAllowance
     from cactussaddle_common.http.message import Response
+    from cactussaddle_common.tasks import TaskStarter
 
 READ_BYTES = 65_536
 # Bodies from this size on are not copied behind their headers.
@@ -128,7 +129,7 @@
         self,
         *,
         address: Address,
-        nursery: trio.Nursery,
+        nursery: TaskStarter,
         connect_timeout_s: float,
         on_connected: Callable[[Channel, float], None],
         on_idle: Callable[[Channel], None],
--- a/packages/cactussaddle-common/src/cactussaddle_common/http/pool.py
+++ b/packages/cactussaddle-common/src/cactussaddle_common/http/pool.py
@@ -19,6 +19,7 @@
     from cactussaddle_common.http.bounds import BodyAllowance
     from cactussaddle_common.http.channel import Address
     from cactussaddle_common.http.channel import Exchange
+    from cactussaddle_common.tasks import TaskStarter
 
 # A connection that has been idle for longer is not reused, whatever keep-alive timeout the peer sent.
 INITIAL_IDLE_LIMIT_S = 30.0
@@ -67,7 +68,7 @@
 class Pool:
     """A pool of at most `most` connections to one address; its owner has to close it."""
 
-    def __init__(self, *, address: Address, nursery: trio.Nursery, settings: PoolSettings) -> None:
+    def __init__(self, *, address: Address, nursery: TaskStarter, settings: PoolSettings) -> None:
         self.address = address
         self.most = settings.max_connections
         self.idle_limit_s = INITIAL_IDLE_LIMIT_S
--- a/packages/cactussaddle-common/src/cactussaddle_common/http/sendbuffer.py
+++ b/packages/cactussaddle-common/src/cactussaddle_common/http/sendbuffer.py
@@ -13,6 +13,8 @@
 
     from collections.abc import Callable
 
+    from cactussaddle_common.tasks import TaskStarter
+
 
 class _Kept(NamedTuple):
     """The part of some data that is not sent yet, and the size of the whole, which it keeps."""
@@ -33,7 +35,7 @@
         self,
         *,
         sock: socket.socket,
-        nursery: trio.Nursery,
+        nursery: TaskStarter,
         failed: Callable[[OSError], None],
         drained: Callable[[], None] | None = None,
         progressed: Callable[[int], None] | None = None,
@@ -78,6 +80,14 @@
             return len(data)
 
     async def _flush(self) -> None:
+        try:
+            await self._write_kept()
+        except Exception as exc:
+            self.discard()
+            self._on_error(OSError(f"unexpected error: {exc!r}"))
+            raise
+
+    async def _write_kept(self) -> None:
         while self._kept:
             try:
                 await trio.lowlevel.wait_writable(self._sock)
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/caller.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/caller.py
@@ -35,6 +35,7 @@
 
     from cactussaddle_common.http.message import Headers
     from cactussaddle_common.http.requestreader import IncomingRequest
+    from cactussaddle_common.tasks import TaskStarter
     from cactussaddle_core.routing.model import CallerLimits
     from cactussaddle_node.edge.callerbudget import CallerBudget
 
@@ -106,7 +107,7 @@
         self,
         *,
         sock: socket.socket,
-        nursery: trio.Nursery,
+        nursery: TaskStarter,
         hooks: CallerHooks,
         budget: CallerBudget,
     ) -> None:
@@ -473,6 +474,10 @@
         self._is_starting = True
         try:
             self._hooks.request_received(number, self, request)
+        except Exception:
+            # Its caller would wait in vain, and so would those of the requests behind it.
+            self.close()
+            raise
         finally:
             self._is_starting = False
 
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/daemon.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/daemon.py
@@ -43,6 +43,7 @@
 from cactussaddle_node.edge.delegates import DelegateClient
 from cactussaddle_node.edge.delegates import DelegateServer
 from cactussaddle_node.edge.eventlog import EventLog
+from cactussaddle_node.edge.guard import GuardedNursery
 from cactussaddle_node.edge.guard import TaskGuard
 from cactussaddle_node.edge.leafcaller import LeafCaller
 from cactussaddle_node.edge.metrics import Metrics
@@ -52,10 +53,10 @@
 from cactussaddle_platform import leaves
 
 if TYPE_CHECKING:
-
     from collections.abc import Callable
 
     from cactussaddle_common.http.requestreader import IncomingRequest
+    from cactussaddle_common.tasks import TaskStarter
     from cactussaddle_core.fanout.state import Query
     from cactussaddle_core.invariants import Breach
     from cactussaddle_core.routing.model import CallerLimits
@@ -108,6 +109,8 @@
             started_at=trio.current_time(),
         )
         self.guard = TaskGuard(report=self._report_error)
+        # Starts the tasks of all components; none of them ends the process.
+        self.tasks: TaskStarter = GuardedNursery(nursery=nursery, guard=self.guard)
         self.metrics = Metrics()
         self.caller_budget = CallerBudget(
             rules=host_rules(cfg.limits),
@@ -116,11 +119,13 @@
             ),
             note=lambda event: self.note(fx.LogEvent(event)),
         )
-        self.records = RecordWriter(nursery=nursery, guard=self.guard, log=self.log, feed=self.feed)
+        self.records = RecordWriter(
+            nursery=self.tasks, guard=self.guard, log=self.log, feed=self.feed
+        )
         self.collector = IdleCollector(is_on=cfg.features.waiting)
         self._read_host = start_reading(cfg.features.waiting)
         self.leaf_caller = LeafCaller(
-            nursery=nursery,
+            nursery=self.tasks,
             wire=leaves,
             local_host=cfg.ip,
             feed=self.feed,
@@ -128,7 +133,7 @@
             max_buffered_bytes=self.caller_budget.account.rules.replies_bytes,
             read_host=self._read_host,
         )
-        self.delegates = DelegateClient(nursery=nursery, local_host=cfg.ip, feed=self.feed)
+        self.delegates = DelegateClient(nursery=self.tasks, local_host=cfg.ip, feed=self.feed)
         self.delegate_server = DelegateServer(
             state=self.state,
             cores=cfg.limits.cores,
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/delegates.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/delegates.py
@@ -41,6 +41,7 @@
     from cactussaddle_common.http.message import Response
     from cactussaddle_common.http.pool import Ticket
     from cactussaddle_common.http.requestreader import IncomingRequest
+    from cactussaddle_common.tasks import TaskStarter
     from cactussaddle_core.delegation.model import Delegated
     from cactussaddle_core.edge.state import EdgeState
     from cactussaddle_node.edge.caller import CallerConnection
@@ -113,7 +114,7 @@
     """Hands queries to other nodes over kept connections, and feeds what becomes of them."""
 
     def __init__(
-        self, *, nursery: trio.Nursery, local_host: str, feed: Callable[[ev.Event], None]
+        self, *, nursery: TaskStarter, local_host: str, feed: Callable[[ev.Event], None]
     ) -> None:
         self._nursery = nursery
         self._local_host = local_host
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/duties.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/duties.py
@@ -21,6 +21,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from cactussaddle_common.tasks import TaskStarter
     from cactussaddle_core.duties.model import DutyRules
     from cactussaddle_core.edge.state import EdgeState
     from cactussaddle_node.edge.datagrams import Datagrams
@@ -51,7 +52,7 @@
 class DutyOutputs(NamedTuple):
     """Where tasks, log lines and counters of the duty go."""
 
-    nursery: trio.Nursery
+    nursery: TaskStarter
     guard: TaskGuard
     note: Callable[[fx.LogEvent], None]
     metrics: Metrics
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/guard.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/guard.py
@@ -50,3 +50,16 @@
             else:
                 return
             await trio.sleep(RESTART_DELAY_S)
+
+
+class GuardedNursery:
+    """Starts the tasks of components in a nursery, each under a guard: none of them ends the process."""
+
+    def __init__(self, *, nursery: trio.Nursery, guard: TaskGuard) -> None:
+        self._nursery = nursery
+        self._guard = guard
+
+    def start_soon(self, function: Callable[..., Awaitable[Any]], /, *args: Any) -> None:
+        """Start a task; an exception is reported and ends only this task."""
+        name = getattr(function, "__qualname__", "task")
+        self._nursery.start_soon(self._guard.run_once, name, function, *args)
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/leafcaller.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/leafcaller.py
@@ -29,6 +29,7 @@
 
     from cactussaddle_common.http.channel import ExchangeResult
     from cactussaddle_common.http.pool import Ticket
+    from cactussaddle_common.tasks import TaskStarter
     from cactussaddle_core.edge.effects import ConnectionLimits
     from cactussaddle_core.fanout.effects import EndCall
     from cactussaddle_core.fanout.state import Call
@@ -63,7 +64,7 @@
     def __init__(
         self,
         *,
-        nursery: trio.Nursery,
+        nursery: TaskStarter,
         wire: LeafWire,
         local_host: str,
         feed: Callable[[ev.Event], None],
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/listener.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/listener.py
@@ -16,6 +16,7 @@
     from types import TracebackType
     from typing import Self
 
+    from cactussaddle_common.tasks import TaskStarter
     from cactussaddle_node.edge.caller import CallerHooks
     from cactussaddle_node.edge.callerbudget import CallerBudget
     from cactussaddle_node.edge.guard import TaskGuard
@@ -33,7 +34,7 @@
         self,
         *,
         sock: socket.socket,
-        nursery: trio.Nursery,
+        nursery: TaskStarter,
         guard: TaskGuard,
         hooks: Callable[[Listener], CallerHooks],
         budget: CallerBudget,
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/peerwire.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/peerwire.py
@@ -37,6 +37,7 @@
     from cactussaddle_common.http.message import Headers
     from cactussaddle_common.http.message import Response
     from cactussaddle_common.http.requestreader import IncomingRequest
+    from cactussaddle_common.tasks import TaskStarter
     from cactussaddle_core.spread.model import Member
     from cactussaddle_core.spread.model import Poll
     from cactussaddle_node.edge.caller import CallerConnection
@@ -83,7 +84,7 @@
 class PeerClient:
     """Requests changes from other nodes, over one persistent connection to the current node."""
 
-    def __init__(self, *, nursery: trio.Nursery, local_host: str) -> None:
+    def __init__(self, *, nursery: TaskStarter, local_host: str) -> None:
         self._nursery = nursery
         self._local_host = local_host
         self._pools: dict[Address, Pool] = {}
@@ -130,7 +131,7 @@
         self,
         *,
         follower: Follower,
-        nursery: trio.Nursery,
+        nursery: TaskStarter,
         guard: TaskGuard,
         queries: DelegateServer | None = None,
     ) -> None:
@@ -152,20 +153,15 @@
         if path == QUERY_PATH and self._queries is not None:
             self._queries.received(number, connection, request)
             return
-        asked = parse_qs(query)
-        after = parse_revision(asked.get(b"after", [b""])[0])
-        age_s = _parse_seconds(asked.get(b"age", [b""])[0])
-        # A node that names no wait waits for `LONG_POLL_S`.
-        wait_s = _parse_seconds(asked.get(b"wait", [b""])[0]) or LONG_POLL_S
-        era = parse_revision(asked.get(b"era", [b""])[0]) or NO_ERA
-        if path != PATH or after is None:
+        asked = parse_asked(query)
+        if path != PATH or asked is None:
             connection.answer(number, OutgoingResponse(404, (), b"no such page"))
         elif not self._follower.log.revision:
             connection.answer(number, OutgoingResponse(503, (), b"nothing known yet"))
-        elif era > self._follower.log.era:
+        elif asked.era > self._follower.log.era:
             connection.answer(number, OutgoingResponse(503, (), b"records of an earlier era"))
         else:
-            task = (self._answer, number, connection, Asked(after, era, age_s, wait_s))
+            task = (self._answer, number, connection, asked)
             self._nursery.start_soon(self._guard.run_once, "answer to a node", *task)
 
     async def _answer(self, number: int, connection: CallerConnection, asked: Asked) -> None:
@@ -188,6 +184,23 @@
     wait_s: float
 
 
+def parse_asked(query: bytes) -> Asked | None:
+    """Parse the query of a node's request; None if it names no revision."""
+    # Bytes beyond ASCII stand for themselves, so any query can be parsed.
+    fields = parse_qs(query.decode("latin-1"), encoding="latin-1")
+    after = parse_revision(_first(fields, "after"))
+    if after is None:
+        return None
+    age_s = _parse_seconds(_first(fields, "age"))
+    # A node that names no wait waits for `LONG_POLL_S`.
+    wait_s = _parse_seconds(_first(fields, "wait")) or LONG_POLL_S
+    return Asked(after, parse_revision(_first(fields, "era")) or NO_ERA, age_s, wait_s)
+
+
+def _first(fields: dict[str, list[str]], name: str) -> bytes:
+    return fields.get(name, [""])[0].encode("latin-1")
+
+
 def known_revision(follower: Follower, asked: Asked) -> int:
     """Return the revision whose records the asker has; none if the store was restored since."""
     is_earlier = asked.era != NO_ERA and asked.era < follower.log.era
@@ -279,7 +292,7 @@
         number = float(value)
     except ValueError:
         return 0.0
-    return number if math.isfinite(number) else 0.0
+    return number if 0.0 <= number < math.inf else 0.0
 
 
 def _ignore_time(took_s: float) -> None:
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/records.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/records.py
@@ -14,6 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from cactussaddle_common.tasks import TaskStarter
     from cactussaddle_core.edge.effects import RemoveFromRoster
     from cactussaddle_core.hold.trials import RemoveTrial
     from cactussaddle_core.hold.trials import WriteTrial
@@ -34,7 +35,7 @@
     def __init__(
         self,
         *,
-        nursery: trio.Nursery,
+        nursery: TaskStarter,
         guard: TaskGuard,
         log: EventLog,
         feed: Callable[[ev.Event], None],
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/serve.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/serve.py
@@ -52,6 +52,7 @@
     from collections.abc import Callable
     from pathlib import Path
 
+    from cactussaddle_common.tasks import TaskStarter
     from cactussaddle_node.signals import ReceivedSignal
     from cactussaddle_node.signals import SignalInbox
     from cactussaddle_platform.settings import HostSettings
@@ -75,7 +76,7 @@
     async with trio.open_nursery() as nursery:
         daemon = EdgeDaemon(cfg=cfg, nursery=nursery)
         daemon.ticked = lambda: _ticked(daemon, inbox)
-        guard = daemon.guard
+        guard, tasks = daemon.guard, daemon.tasks
         set_handler(daemon.breach)
         limits = cfg.limits
         daemon.note(
@@ -83,15 +84,15 @@
                 log.Started(cfg.domain, cfg.ip, os.getpid(), limits.cores, limits.memory_mb)
             )
         )
-        store = KvStore(address=cfg.store.address._replace(local_host=cfg.ip), nursery=nursery)
+        store = KvStore(address=cfg.store.address._replace(local_host=cfg.ip), nursery=tasks)
         daemon.records.rollouts = RolloutRecords(store=store)
         daemon.records.trials = TrialRecords(store=store)
         daemon.records.roster = RosterRecords(store=store)
         if cfg.usage is not None:
-            daemon.duty = _duty(cfg, cfg.usage, daemon, store, nursery)
+            daemon.duty = _duty(cfg, cfg.usage, daemon, store, tasks)
         follower = Follower(
             store=StoreFeed(store=store),
-            peers=PeerClient(nursery=nursery, local_host=cfg.ip),
+            peers=PeerClient(nursery=tasks, local_host=cfg.ip),
             decoder=registry,
             feed=daemon.feed,
             clock=boot_time,
@@ -117,7 +118,7 @@
         )
         daemon.place_changed = follower.choice.set_position
         peer_server = PeerServer(
-            follower=follower, nursery=nursery, guard=guard, queries=daemon.delegate_server
+            follower=follower, nursery=tasks, guard=guard, queries=daemon.delegate_server
         )
         callers_sock = callers_sock or listen(*cfg.callers[:2])
         budget = daemon.caller_budget
@@ -132,7 +133,7 @@
             socks.append((listen(*cfg.admin[:2]), pages.hooks, most.pages))
         for sock, hooks, count in socks:
             listener = Listener(
-                sock=sock, nursery=nursery, guard=guard, hooks=hooks, budget=budget, most=count
+                sock=sock, nursery=tasks, guard=guard, hooks=hooks, budget=budget, most=count
             )
             nursery.start_soon(guard.run_restarting, "listener", listener.accept)
         nursery.start_soon(guard.run_restarting, "timers", daemon.run_timers)
@@ -164,7 +165,7 @@
     usage: UsageSettings,
     daemon: EdgeDaemon,
     store: KvStore,
-    nursery: trio.Nursery,
+    nursery: TaskStarter,
 ) -> DutyRunner:
     """Return this node's part in the duty to report usage, which counts the daemon's requests."""
     address = usage.address._replace(local_host=cfg.ip)
--- a/tests/node/edge/connections.py
+++ b/tests/node/edge/connections.py
@@ -18,6 +18,7 @@
 from cactussaddle_node.edge.caller import CallerHooks
 from cactussaddle_node.edge.caller import Dropped
 from cactussaddle_node.edge.callerbudget import CallerBudget
+from cactussaddle_node.edge.guard import GuardedNursery
 from cactussaddle_node.edge.guard import TaskGuard
 from cactussaddle_node.edge.listener import Listener
 from cactussaddle_node.startup import listen
@@ -104,10 +105,11 @@
             async with trio.open_nursery() as nursery:
                 sock = listen("127.0.0.1", 0)
                 port = node.port = sock.getsockname()[1]
+                guard = TaskGuard(report=node.report)
                 listener = Listener(
                     sock=sock,
-                    nursery=nursery,
-                    guard=TaskGuard(report=node.report),
+                    nursery=GuardedNursery(nursery=nursery, guard=guard),
+                    guard=guard,
                     hooks=node.hooks,
                     budget=node.budget,
                     most=node.budget.account.rules.callers,
--- a/tests/node/edge/test_caller.py
+++ b/tests/node/edge/test_caller.py
@@ -17,6 +17,8 @@
 
 # A request whose body stops one byte short of its end.
 PART = b"POST /a HTTP/1.1\r\nContent-Length: 150000\r\n\r\n" + b"a" * 149_999
+# More than a socket takes at once.
+LARGE_BYTES = 20_000_000
 
 
 class CallerConnectionTest(ConnectionTest):
@@ -126,6 +128,40 @@
 
         self.run_node(body)
 
+    def test_an_unexpected_error_behind_another_request_costs_its_connection_alone(self):
+        """Such a request is started by a task of its own (review/9, LOST)."""
+
+        async def body(node, listener, stream):
+            async with await trio.open_tcp_stream("127.0.0.1", node.port) as other:
+                await other.send_all(b"GET /first HTTP/1.1\r\n\r\nGET /bad HTTP/1.1\r\n\r\n")
+                told = await read_until(other, b"/first")
+                while piece := await other.receive_some():
+                    told += piece
+                self.assertEqual(told.count(b"HTTP/1.1 200"), 1)
+            await stream.send_all(b"GET /a HTTP/1.1\r\n\r\n")
+            self.assertIn(b"/a", await read_until(stream, b"/a"))
+            self.assertEqual(len(node.errors), 1)
+            self.assertEqual(len(node.gone), 1)
+
+        self.run_node(body)
+
+    def test_an_unexpected_error_once_an_answer_is_written_costs_its_connection_alone(self):
+        async def body(node, listener, stream):
+            async with await trio.open_tcp_stream("127.0.0.1", node.port) as other:
+                await other.send_all(b"GET /first HTTP/1.1\r\n\r\n")
+                await wait_for(lambda: node.arrived)
+                node.answer(0, b"x" * LARGE_BYTES)
+                await other.send_all(b"GET /bad HTTP/1.1\r\n\r\n")
+                while await other.receive_some():
+                    pass
+            await wait_for(lambda: len(node.errors) == 1)
+            await stream.send_all(b"GET /a HTTP/1.1\r\n\r\n")
+            await wait_for(lambda: len(node.arrived) == 3)
+            node.answer(-1, b"end")
+            self.assertIn(b"end", await read_until(stream, b"end"))
+
+        self.run_node(body, at_once=False)
+
     def test_headers_a_byte_at_a_time_are_told_to_be_late(self):
         async def body(node, listener, stream):
             began = trio.current_time()
--- a/tests/node/edge/test_peerwire.py
+++ b/tests/node/edge/test_peerwire.py
@@ -59,6 +59,54 @@
                 self.assertIsNone(parse_revision(after))
         self.assertEqual((parse_revision(b"7"), parse_revision(b"-1")), (7, -1))
 
+    def test_a_query_that_is_no_text_has_an_answer_also_behind_another_request(self):
+        """The second message of a connection is started by a task of its own (review/9, LOST)."""
+        statuses = {
+            b"after=%ff": b"404",
+            b"%ff": b"404",
+            b"after=1&age=%e9&wait=0.1": b"200",
+            b"after=1&wait=-5": b"200",
+            b"after=1&age=-1": b"200",
+        }
+        for query, status in statuses.items():
+            with self.subTest(query=query):
+                second = b"GET /records?" + query + b" HTTP/1.1\r\n\r\n"
+                told = self.talk(b"GET /none HTTP/1.1\r\n\r\n" + second)
+                self.assertIn(b"HTTP/1.1 404", told)
+                self.assertIn(b"HTTP/1.1 " + status, told.partition(b"no such page")[2])
+
+    def talk(self, data: bytes) -> bytes:
+        """Return what a node answers to two requests in one piece; no task of it may fail."""
+        failed: list[str] = []
+
+        async def main() -> bytes:
+            async with trio.open_nursery() as nursery:
+                guard = TaskGuard(report=lambda task, error, place: failed.append(error))
+                server = PeerServer(follower=follower_with(7), nursery=nursery, guard=guard)
+                sock = listen("127.0.0.1", 0)
+                with Listener(
+                    sock=sock,
+                    nursery=nursery,
+                    guard=guard,
+                    hooks=server.hooks,
+                    budget=roomy_budget(),
+                    most=64,
+                ) as listener:
+                    nursery.start_soon(listener.accept)
+                    stream = await trio.open_tcp_stream("127.0.0.1", sock.getsockname()[1])
+                    await stream.send_all(data)
+                    told = b""
+                    with trio.move_on_after(3.0):
+                        while told.count(b"HTTP/1.1 ") < 2:
+                            told += await stream.receive_some() or b"HTTP/1.1 closed"
+                    await stream.aclose()
+                nursery.cancel_scope.cancel()
+            return told
+
+        told = trio.run(main)
+        self.assertEqual(failed, [])
+        return told
+
     def ask(self, follower: Follower, poll: Poll) -> tuple[Batch, float]:
         async def main():
             async with trio.open_nursery() as nursery:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -57,7 +57,8 @@
         group, kind = rng.choices(FURTHER_FAULTS, weights)[0]
         which = rng.randrange(counts.get(group, 1))
         faults.append(Fault(at, group, kind, which, rng.uniform(0.4, 4.0)))
-    return sorted([*faults, *draw_restores(seed, seconds)])
+    others = [*draw_restores(seed, seconds), *draw_garbage(seed, seconds, nodes=nodes)]
+    return sorted([*faults, *others])
 
 
 def draw_restores(seed: int, seconds: float) -> list[Fault]:
@@ -69,6 +70,15 @@
     return [Fault(at, "store", "restore", 0, rng.uniform(0.5, 3.0))]
 
 
+def draw_garbage(seed: int, seconds: float, *, nodes: int) -> list[Fault]:
+    """Return two moments at which a node's own port gets messages that no node sends."""
+    rng = random.Random(f"garbage {seed}")
+    return [
+        Fault(rng.uniform(0.0, seconds), "node", "garbage", rng.randrange(nodes), 0.0)
+        for _ in range(2)
+    ]
+
+
 def draw(seed: int, seconds: float, *, nodes: int, leaves: int) -> list[Fault]:
     """Return the faults drawn first, in order of time."""
     rng = random.Random(f"faults {seed}")
--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import signal
 import subprocess
 import sys
@@ -10,6 +11,7 @@
 from typing import Any
 
 import msgspec
+import trio
 
 from tests.harness.process import ROOT
 from tests.harness.process import environment
@@ -20,6 +22,13 @@
 CALLER_PORT = 8226
 READY_PORT = 8227
 PEER_PORT = 7740
+GARBAGE = (
+    b"/records?after=%ff&age=1&wait=0.5&era=0",
+    b"/records?after=1&age=-1&wait=-1&era=-1",
+    b"/query?%ff",
+    b"/records?after=" + b"9" * 5000,
+)
+NOT_TAKEN = (OSError, trio.BrokenResourceError, trio.TooSlowError)
 METRICS_PORT = 9464
 GRACE_S = 4.0
 # Bounds in seconds hold for a node on which no fault was for this long.
@@ -125,6 +134,15 @@
             self.paused = False
         self.child.send_signal(number)
 
+    async def send_garbage(self) -> None:
+        """Send messages that no node sends to the port for other nodes, the second behind a sound one."""
+        for target in GARBAGE:
+            with contextlib.suppress(*NOT_TAKEN), trio.fail_after(1.0):
+                async with await trio.open_tcp_stream(self.ip, PEER_PORT) as stream:
+                    first = b"GET /none HTTP/1.1\r\nHost: h\r\n\r\n"
+                    await stream.send_all(first + b"GET %s HTTP/1.1\r\nHost: h\r\n\r\n" % target)
+                    await stream.receive_some()
+
     def end(self) -> None:
         """Make sure that the child is gone."""
         if self.child is not None and self.child.poll() is None:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -236,6 +236,9 @@
             node.write_settings(budget_slack=40 + self.rng.randrange(3))
             node.signal(signal.SIGHUP)
             return
+        if fault.kind == "garbage":
+            await node.send_garbage()
+            return
         node.disturb(trio.current_time() + fault.for_s)
         if fault.kind == "kill":
             node.signal(signal.SIGKILL)
