--- a/packages/cactussaddle-core/src/cactussaddle_core/routing/table.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/routing/table.py
@@ -40,18 +40,21 @@
         self._by_host: dict[str, dict[str, Route]] = {}
         for route in self.routes.values():
             self._by_host.setdefault(route.host, {})[route.prefix] = route
+        # The lengths of a host's prefixes, longest first: no path costs more look-ups than there are.
+        self._lengths = {
+            host: sorted({len(one) for one in by_prefix if one.endswith("/")}, reverse=True)
+            for host, by_prefix in self._by_host.items()
+        }
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route of a request; prefixes begin and end with a slash."""
         by_prefix = self._by_host.get(host)
         if by_prefix is None:
             return None
-        end = path.rfind("/")
-        while end >= 0:
-            route = by_prefix.get(path[: end + 1])
+        for length in self._lengths[host]:
+            route = by_prefix.get(path[:length])
             if route is not None:
                 return route
-            end = path.rfind("/", 0, end)
         return None
 
     def services_in_use(self) -> frozenset[str]:
--- a/tests/core/routing/test_routing.py
+++ b/tests/core/routing/test_routing.py
@@ -14,6 +14,17 @@
     return RoutingTable(version=version, routes=routes, services=[])
 
 
+class CountedPath(str):
+    """A path that counts the characters copied from it."""
+
+    copied = 0
+
+    def __getitem__(self, key) -> str:
+        part = super().__getitem__(key)
+        self.copied += len(part)
+        return part
+
+
 class RoutingTableTest(unittest.TestCase):
     def test_the_longest_prefix_wins(self):
         routes = table(1, "/a/", "/a/b/", "/")
@@ -26,6 +37,18 @@
         self.assertIsNone(routes.find("h", "/b/x"))
         self.assertIsNone(routes.find("h", "/a"))
 
+    def test_a_path_of_slashes_costs_no_more_than_another(self):
+        """Each prefix of the path was looked up, so 16 kB of slashes held the node up (review/6, CONFIG)."""
+        routes = table(1, "/a/", "/a/b/", "/c/d/")
+        for path in ("/" * 16_000, "/x" * 8_000, "/a/" + "/" * 16_000):
+            counted = CountedPath(path)
+            found = routes.find("h", counted)
+            self.assertEqual(found and found.name, "/a/" if path.startswith("/a/") else None)
+            self.assertLessEqual(counted.copied, 3 + 5)
+
+    def test_a_prefix_that_does_not_end_in_a_slash_matches_nothing(self):
+        self.assertIsNone(table(1, "/a").find("h", "/a/x"))
+
     def test_the_table_never_reverts_to_an_older_version(self):
         current = CurrentTable()
         self.assertTrue(current.offer(table(5)))
