--- a/packages/cactussaddle-common/src/cactussaddle_common/http/channel.py
+++ b/packages/cactussaddle-common/src/cactussaddle_common/http/channel.py
@@ -70,9 +70,11 @@
 
     `encode` returns the bytes of the request, and is called when it is sent, as a request may wait for a
     connection. `body` is sent behind it; exchanges with large bodies may share one. `accept` returns
-    whether a response belongs to this request, or None if the response does not identify its request. Responses to other requests are dropped, as are unidentified ones on a
-    connection whose peer has identified a response before; with `identifies` off, an accepted response
-    does not show that the peer identifies responses. `left` is called when the request is sent
+    whether a response belongs to this request, or None if the response does not identify its request.
+    Responses to other requests are dropped, as are unidentified ones on a connection whose peer has
+    identified a response before; with `identifies` off, an accepted response does not show that the
+    peer identifies responses. A response that `is_foreign`, of a kind that never answers this request, is
+    dropped and shows nothing. `left` is called when the request is sent
     and `ended` with the result. The body of a response is limited to `max_body_bytes`. The connection
     of a `single` exchange is closed after it.
     """
@@ -83,6 +85,7 @@
         "encode",
         "ended",
         "identifies",
+        "is_foreign",
         "left",
         "max_body_bytes",
         "single",
@@ -98,11 +101,13 @@
         max_body_bytes: int = MAX_BODY_BYTES,
         single: bool = False,
         identifies: bool = True,
+        is_foreign: Callable[[Response], bool] | None = None,
         body: bytes = b"",
     ) -> None:
         self.encode = encode
         self.body = body
         self.identifies = identifies
+        self.is_foreign = is_foreign
         self.single = single
         self.max_body_bytes = max_body_bytes
         self.left = left
@@ -312,6 +317,8 @@
             self._close_with(ExchangeFailure.CLOSED, "closed after a response to another request")
 
     def _is_expected(self, exchange: Exchange, response: Response) -> bool:
+        if exchange.is_foreign is not None and exchange.is_foreign(response):
+            return False
         is_match = exchange.accept(response)
         if is_match is None:
             return not self._peer_identifies_responses
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/leafcaller.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/leafcaller.py
@@ -108,6 +108,7 @@
             accept=functools.partial(self._wire.is_answer_to, query.request),
             ended=functools.partial(self._call_ended, call),
             max_body_bytes=_max_response_bytes(query.route),
+            is_foreign=self._wire.is_health_answer,
             body=query.request.body,
         )
         pool = self._pool(call.leaf)
--- a/tests/node/edge/test_leafcaller.py
+++ b/tests/node/edge/test_leafcaller.py
@@ -57,7 +57,7 @@
         return None
 
     def decode_call_end(self, call_id, response):
-        return CallEnd(call_id, CallEnding.ANSWERED, "")
+        return CallEnd(call_id, CallEnding.ANSWERED, response.body.decode())
 
     def encode_probe(self, leaf, health_path, *, kept=False):
         return b"GET /health HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -272,7 +272,15 @@
                 await trio.sleep_forever()
             await trio.sleep(self.answer_after_s)
             late = reply(b"late answer to a call") if plan == "late" else b""
-            await stream.send_all(late + reply(headers=b"Leaf: i-1\r\n"))
+            health = reply(headers=b"Leaf: i-1\r\n")
+            answer = health if b"/health" in data else reply(b"of the call")
+            await stream.send_all(late + answer)
+            if plan == "twice":
+                # The second copy comes once the connection carries a call.
+                self.requests.append(await read_request(stream))
+                await stream.send_all(health)
+                await trio.sleep(SETTLE_S / 2.0)
+                await stream.send_all(reply(b"of the call"))
 
     def probes(
         self,
@@ -381,6 +389,14 @@
             self.assertEqual([end.ending for end in self.ends], [CallEnding.ANSWERED])
             self.assertEqual(self.accepted, 1)
 
+    def test_the_second_copy_of_a_probes_answer_is_not_taken_for_that_of_a_call(self):
+        """A copy without an id came on the connection that the probe had left for calls (review/7, MIXED)."""
+        for warm in (0, 1):
+            self.ends = []
+            self.probes(1, warm=warm, plans=["twice"], call_after=True)
+            self.assertEqual([end.detail for end in self.ends], ["of the call"])
+            self.assertEqual(self.accepted, 1)
+
     def test_a_late_answer_to_a_call_is_not_taken_for_that_of_a_probe(self):
         ended = self.probes(2, plans=["late"])
         self.assertEqual([health.leaf for health in ended], ["i-1", "i-1"])
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -104,6 +104,8 @@
         self.assertFalse(leaves.is_health_answer(response(200, server_stamp=b"x")))
         late = response(200, instance_id=b"i-7", request_id=b"9c41")
         self.assertFalse(leaves.is_health_answer(late))
+        # Another leaf at the address refuses a call, and names itself.
+        self.assertFalse(leaves.is_health_answer(response(421, instance_id=b"i-8")))
 
     def test_only_a_probe_on_a_connection_of_its_own_closes_it(self):
         self.assertIn(b"Connection: close", leaves.encode_probe(LEAF, "/healthz"))
