--- a/packages/cactussaddle-common/src/cactussaddle_common/http/channel.py
+++ b/packages/cactussaddle-common/src/cactussaddle_common/http/channel.py
@@ -74,13 +74,14 @@
     Responses to other requests are dropped, as are unidentified ones on a connection whose peer has
     identified a response before; with `identifies` off, an accepted response does not show that the
     peer identifies responses. A response that `is_foreign`, of a kind that never answers this request, is
-    dropped and shows nothing. `left` is called when the request is sent
+    dropped and shows nothing. The response to a `bodiless` exchange, such as one to HEAD, ends with its headers. `left` is called when the request is sent
     and `ended` with the result. The body of a response is limited to `max_body_bytes`. The connection
     of a `single` exchange is closed after it.
     """
 
     __slots__ = (
         "accept",
+        "bodiless",
         "body",
         "encode",
         "ended",
@@ -102,12 +103,14 @@
         single: bool = False,
         identifies: bool = True,
         is_foreign: Callable[[Response], bool] | None = None,
+        bodiless: bool = False,
         body: bytes = b"",
     ) -> None:
         self.encode = encode
         self.body = body
         self.identifies = identifies
         self.is_foreign = is_foreign
+        self.bodiless = bodiless
         self.single = single
         self.max_body_bytes = max_body_bytes
         self.left = left
@@ -196,6 +199,7 @@
         self.exchange = exchange
         self.linger_until = None
         self._reader.max_body_bytes = exchange.max_body_bytes
+        self._reader.bodiless = exchange.bodiless
         if self.open:
             self._idle_s = trio.current_time() - self.idle_since
             self._send(exchange)
--- a/packages/cactussaddle-common/src/cactussaddle_common/http/response.py
+++ b/packages/cactussaddle-common/src/cactussaddle_common/http/response.py
@@ -27,6 +27,9 @@
 
     `peer_idle_s` is the timeout from the peer's `Keep-Alive` header, None if it sent none.
 
+    While `bodiless` is set, a final response ends with its headers, whatever length they announce. It is the
+    last one of its connection.
+
     The body of a response is limited to `max_body_bytes`, and `allowance` limits the total of the
     unfinished bodies on many connections. The parser buffers an unfinished header line without a
     limit of its own, so the bytes passed to it that are not body are limited here.
@@ -36,6 +39,8 @@
         self, *, max_body_bytes: int = MAX_BODY_BYTES, allowance: BodyAllowance | None = None
     ) -> None:
         self.max_body_bytes = max_body_bytes
+        self.bodiless = False
+        self._is_over = False
         self._allowance = allowance or BodyAllowance(
             max_bytes=MAX_BODY_BYTES, guaranteed_bytes=MAX_BODY_BYTES
         )
@@ -61,6 +66,8 @@
         except httptools.HttpParserUpgrade as exc:
             raise BadResponseError("unexpected protocol upgrade") from exc
         except httptools.HttpParserError as exc:
+            if self._is_over:
+                return
             cause = exc.__context__
             raise BadResponseError(str(cause or exc)) from exc
         if self._size.exceeds_framing_limit(MAX_HEADER_BYTES):
@@ -114,9 +121,15 @@
         if not MIN_STATUS <= status <= MAX_STATUS:
             raise BadResponseError(f"status {status} is not defined")
         self._in_body = True
+        if self.bodiless and status >= MIN_FINAL_STATUS:
+            self._finish()
+            self.keep_alive = False
+            self._is_over = True
 
     def on_body(self, data: bytes) -> None:
         """Append to the body (called by the parser)."""
+        if self._is_over:
+            return
         self._size.body += len(data)
         if self._size.body > self.max_body_bytes:
             raise BadResponseError("body too large")
@@ -127,7 +140,8 @@
 
     def on_message_complete(self) -> None:
         """Store the complete response (called by the parser)."""
-        self._finish()
+        if not self._is_over:
+            self._finish()
 
     def _finish(self) -> None:
         self._in_body = False
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/caller.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/caller.py
@@ -14,7 +14,9 @@
 
 import trio
 
+from cactussaddle_common.http.message import HEAD
 from cactussaddle_common.http.message import OutgoingResponse
+from cactussaddle_common.http.message import encode_answer_to_head
 from cactussaddle_common.http.message import encode_response
 from cactussaddle_common.http.message import encode_response_head
 from cactussaddle_common.http.requestreader import RequestFaultError
@@ -131,6 +133,8 @@
         self._room = trio.Event()
         self._current_number: int | None = None
         self._request_count = 0
+        # Whether the current request is one to HEAD, whose answer has no body.
+        self._asks_head = False
         # Whether a request is being handed on; it may be answered at once.
         self._is_starting = False
         self._keep_alive = True
@@ -461,7 +465,7 @@
             self._pipelined_bytes = 0
         serving_bytes = _serving_bytes(request)
         if not self._budget.may_begin(serving_bytes):
-            self._refuse_for_room()
+            self._refuse_for_room(request.head.method)
             return
         self._serving_bytes = serving_bytes
         if not self._is_full():
@@ -469,6 +473,7 @@
         self._keep_alive = request.keep_alive and not (
             self._reading_stopped and not self._pipelined
         )
+        self._asks_head = request.head.method == HEAD
         number = self._current_number = self._hooks.next_request_number()
         self._request_count += 1
         self._is_starting = True
@@ -488,18 +493,20 @@
             self._start_next()
             self._count_held()
 
-    def _refuse(self, status: int, message: str, headers: Headers = ()) -> None:
+    def _refuse(
+        self, status: int, message: str, headers: Headers = (), method: bytes = b""
+    ) -> None:
         """Answer the request that has come in part, or is next, with a refusal, and take no more."""
         self._discard_received()
-        response = OutgoingResponse(status, headers, message.encode())
-        self._send_buffer.write(encode_response(response, False))
+        self._asks_head = method == HEAD
+        self._write(OutgoingResponse(status, headers, message.encode()), False)
         self._finish()
         self._count_held()
 
-    def _refuse_for_room(self) -> None:
+    def _refuse_for_room(self, method: bytes = b"") -> None:
         """Refuse a request that has not begun, as there is no room for it."""
         self._budget.refused()
-        self._refuse(SHORT_STATUS, SHORT_MESSAGE, SHORT_HEADERS)
+        self._refuse(SHORT_STATUS, SHORT_MESSAGE, SHORT_HEADERS, method)
 
     def _count_held(self) -> None:
         """Tell the account what is held for the caller."""
@@ -519,6 +526,9 @@
         self._budget.hold(self.holder, held, self._serving_bytes, stage)
 
     def _write(self, answer: OutgoingResponse, keep_alive: bool) -> None:
+        if self._asks_head:
+            self._send_buffer.write(encode_answer_to_head(answer, keep_alive))
+            return
         if len(answer.body) < LARGE_ANSWER_BYTES:
             self._send_buffer.write(encode_response(answer, keep_alive))
             return
--- a/packages/cactussaddle-node/src/cactussaddle_node/edge/leafcaller.py
+++ b/packages/cactussaddle-node/src/cactussaddle_node/edge/leafcaller.py
@@ -14,6 +14,7 @@
 from cactussaddle_common.http.channel import ExchangeFailure
 from cactussaddle_common.http.fetch import accept_any
 from cactussaddle_common.http.fetch import fetch
+from cactussaddle_common.http.message import HEAD
 from cactussaddle_common.http.pool import Pool
 from cactussaddle_common.http.pool import PoolSettings
 from cactussaddle_core.edge import events as ev
@@ -109,6 +110,7 @@
             ended=functools.partial(self._call_ended, call),
             max_body_bytes=_max_response_bytes(query.route),
             is_foreign=self._wire.is_health_answer,
+            bodiless=query.request.method == HEAD,
             body=query.request.body,
         )
         pool = self._pool(call.leaf)
--- a/tests/common/http/test_readers.py
+++ b/tests/common/http/test_readers.py
@@ -27,6 +27,18 @@
         self.assertEqual(response.header(b"x-a"), b"1")
         self.assertTrue(self.reader.keep_alive)
 
+    def test_a_response_to_head_ends_with_its_headers(self):
+        for framing in (b"Content-Length: 40\r\n", b"Transfer-Encoding: chunked\r\n", b""):
+            for body in (b"", b"a body all the same"):
+                with self.subTest(framing=framing, body=body):
+                    self.setUp()
+                    self.reader.bodiless = True
+                    interim = b"HTTP/1.1 100 Continue\r\n\r\n"
+                    self.reader.feed(interim + b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n" + body)
+                    (response,) = self.reader.responses
+                    self.assertEqual((response.status, response.body), (200, b""))
+                    self.assertFalse(self.reader.keep_alive)
+
     def test_two_responses_in_one_read(self):
         self.reader.feed(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" * 2)
         self.assertEqual(len(self.reader.responses), 2)
--- a/tests/node/edge/test_caller.py
+++ b/tests/node/edge/test_caller.py
@@ -162,6 +162,18 @@
 
         self.run_node(body, at_once=False)
 
+    def test_an_answer_to_head_has_no_body(self):
+        """The next request got the body as the begin of its answer (review/10, MIXED)."""
+
+        async def body(node, listener, stream):
+            await stream.send_all(b"HEAD /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n")
+            told = await read_until(stream, b"\r\n\r\n/b")
+            first, second = told.split(b"\r\n\r\n", 1)
+            self.assertIn(b"Content-Length: 2", first)
+            self.assertTrue(second.startswith(b"HTTP/1.1 200 "), second)
+
+        self.run_node(body)
+
     def test_headers_a_byte_at_a_time_are_told_to_be_late(self):
         async def body(node, listener, stream):
             began = trio.current_time()
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -191,6 +191,12 @@
         self.assertEqual((answer.status, answer.body), (500, b"why"))
         self.assertEqual(answer.headers, ((b"server-stamp", b"sig"),))
 
+    def test_an_answer_to_head_announces_the_leafs_length(self):
+        headers = ((b"server-stamp", b"sig"), (b"content-length", b"112"))
+        reply = LeafReply(200, headers, b"", "sig")
+        answer = callers.encode_relayed(Relayed(NO_QUERY, reply))
+        self.assertEqual((answer.length_of_get, answer.headers), (112, (headers[0],)))
+
     def test_status_503_is_used_only_for_requests_that_have_not_run(self):
         for code, ran, status in (
             (ResultCode.NOT_RUN, False, 503),
