--- a/packages/cactussaddle-common/src/cactussaddle_common/http/channel.py
+++ b/packages/cactussaddle-common/src/cactussaddle_common/http/channel.py
@@ -69,14 +69,16 @@
     """A request with its callbacks.
 
     `encode` returns the bytes of the request, and is called when it is sent, as a request may wait for a
-    connection. `body` is sent behind it; exchanges with large bodies may share one. `accept` returns
-    whether a response belongs to this request, or None if the response does not identify its request.
-    Responses to other requests are dropped, as are unidentified ones on a connection whose peer has
-    identified a response before; with `identifies` off, an accepted response does not show that the
-    peer identifies responses. A response that `is_foreign`, of a kind that never answers this request, is
-    dropped and shows nothing. The response to a `bodiless` exchange, such as one to HEAD, ends with its headers. `left` is called when the request is sent
-    and `ended` with the result. The body of a response is limited to `max_body_bytes`. The connection
-    of a `single` exchange is closed after it.
+    connection. `body` is sent behind it; exchanges with large bodies may share one. `left` is called when
+    the request is sent and `ended` with the result. The body of a response is limited to
+    `max_body_bytes`. The connection of a `single` exchange is closed after it. The response to a
+    `bodiless` exchange, such as one to HEAD, ends with its headers.
+
+    `accept` returns whether a response belongs to this request, or None if it does not identify its
+    request. Responses to other requests are dropped, as are unidentified ones on a connection whose peer has
+    identified a response before; with `identifies` off, an accepted response does not show that the peer
+    identifies responses. One that `is_foreign`, of a kind that never answers this request, is dropped and shows
+    nothing.
     """
 
     __slots__ = (
--- a/packages/cactussaddle-core/src/cactussaddle_core/fleet/probing.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/fleet/probing.py
@@ -88,11 +88,11 @@
     leaf = fleet.leaves.get(name)
     if leaf is None:
         return
-    _apply(fleet, leaf, health, now, busy_s)
+    _apply_result(fleet, leaf, health, now, busy_s)
     leaf.probe_ended()
 
 
-def _apply(fleet: Fleet, leaf: Leaf, health: ProbeResult, now: float, busy_s: float) -> None:
+def _apply_result(fleet: Fleet, leaf: Leaf, health: ProbeResult, now: float, busy_s: float) -> None:
     name = leaf.name
     is_own_delay = health.end is ProbeOutcome.SILENT and busy_s >= MAX_BUSY_S
     if health.end is ProbeOutcome.RESET or is_own_delay:
--- a/packages/cactussaddle-core/src/cactussaddle_core/limits/roster.py
+++ b/packages/cactussaddle-core/src/cactussaddle_core/limits/roster.py
@@ -56,6 +56,15 @@
     return Enrolment(was_listed=True, has_reserve=is_over or known.process == process)
 
 
+def roster_record(
+    known: RosterRecord | None, enrolment: Enrolment, process: str, now_ms: float
+) -> RosterRecord:
+    """Return the record to write for an enrolment: a refused grant leaves the time of the last one."""
+    if known is None or enrolment.has_reserve:
+        return RosterRecord(process, now_ms)
+    return RosterRecord(process, known.granted_ms)
+
+
 class Roster:
     """The roster as this node has read it."""
 
--- a/tests/core/edge/test_shares.py
+++ b/tests/core/edge/test_shares.py
@@ -19,6 +19,7 @@
 from cactussaddle_core.limits.roster import JOIN_S
 from cactussaddle_core.limits.roster import RosterRecord
 from cactussaddle_core.limits.roster import enrol
+from cactussaddle_core.limits.roster import roster_record
 from cactussaddle_core.spread.model import Member
 
 RULES = BudgetRules(ratio=0.2, allowance=58.0, window_s=10.0)
@@ -116,9 +117,9 @@
 
     def enrol(self, name: str, now: float):
         known = self.roster.get(name)
-        enrolment = enrol(known, f"{name} {now}", RULES.window_s, 1000.0 * now)
-        granted_ms = 1000.0 * now if enrolment.has_reserve or known is None else known.granted_ms
-        self.roster[name] = RosterRecord(f"{name} {now}", granted_ms)
+        process, now_ms = f"{name} {now}", 1000.0 * now
+        enrolment = enrol(known, process, RULES.window_s, now_ms)
+        self.roster[name] = roster_record(known, enrolment, process, now_ms)
         return enrolment
 
     def entered(self, node: Node, at: float) -> None:
