Review: a leaf's pause is forgotten when its entry lapses

A leaf asks a machine for a pause of 20 s and misses its heartbeats for some seconds. The machine drops it with its entry and takes it for a new one afterwards, without the pause.

--- a/review/world3/leaf.py
+++ b/review/world3/leaf.py
@@ -51,7 +51,10 @@
     """One leaf.
 
     `hangs` is the share of its requests that run into its 504 at the deadline, `errors` that of those
-    that it answers with 500 after their work.
+    that it answers with 500 after their work. With `pause_s` it turns the next request of each machine
+    away and wants nothing from that machine for so long; `pauses` holds when it has said so. With
+    `limit_per_s` all its answers name that as the requests a second that it takes; `told` holds when it
+    first said so to each machine.
     """
 
     def __init__(
@@ -62,8 +65,13 @@
         self.server = Server(handler=self._handle)
         self.hangs = 0.0
         self.errors = 0.0
+        self.pause_s = 0.0
+        self.pauses: dict[str, float] = {}
+        self.limit_per_s: float | None = None
+        self.told: dict[str, float] = {}
         self.arrivals: list[Arrival] = []
         self.runs: list[Arrival] = []
+        self.senders: dict[str, str] = {}
         self.ended: list[tuple[str, int]] = []
         self.draining = False
         self._store = store
@@ -98,6 +106,10 @@
         }
         self._store.put(f"servers/{self.name}", entry)
 
+    def lapse(self) -> None:
+        """Lose the entry, as after three heartbeat intervals of silence."""
+        self._store.delete(f"servers/{self.name}")
+
     def stop(self) -> None:
         """End at once, as the old version does when a roll-out is complete."""
         self.server.stop()
@@ -114,7 +126,12 @@
         settings = self.settings
         seen = Arrival(now, request, settings.service, settings.version, self.name)
         self.arrivals.append(seen)
+        self.senders[request] = conn.peer
         echo = ("Request-Id", request)
+        if self.pause_s and conn.peer not in self.pauses:
+            self.pauses[conn.peer] = now
+            pause = ("Retry-After", f"{self.pause_s:g}")
+            return Response(503, b"", (NOT_EXECUTED, echo, pause, self._load()))
         if self._waiting >= settings.queue:
             return Response(503, b"", (NOT_EXECUTED, echo, self._load()))
         self._waiting += 1
@@ -144,7 +161,13 @@
         body = self._rng.randbytes(RECORD_BYTES * RECORDS) if status == 200 else b""
         stamp = f"{request}.{self.name}.{next(self._stamps)}"
         known = (("Server-Stamp", stamp), ("Request-Id", request), self._load())
-        return Response(status, body, known)
+        return Response(status, body, known + self._limit(request))
+
+    def _limit(self, request: str) -> tuple[tuple[str, str], ...]:
+        if self.limit_per_s is None:
+            return ()
+        self.told.setdefault(self.senders[request], asyncio.get_running_loop().time())
+        return (("Server-Limit", f"{self.limit_per_s:g}"),)
 
     def _load(self) -> tuple[str, str]:
         return ("Server-Load", f"{self._running},{self._waiting},{self.settings.slots}")
