--- a/review/world3/world.py
+++ b/review/world3/world.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import random
+import signal
 import sys
 import tempfile
 
@@ -110,7 +111,7 @@
     record.note(f"{name}, {'with' if with_trouble() else 'without'} the disruption")
     try:
         kept = asyncio.run(_run(case, record, seed))
-    except (OSError, TimeoutError) as exc:
+    except (OSError, TimeoutError, asyncio.CancelledError) as exc:
         record.note(f"could not run: {exc!r}")
         record.write()
         sys.exit(COULD_NOT_RUN)
@@ -120,6 +121,10 @@
 
 
 async def _run(case: Callable[[World, Record], Awaitable[bool]], record: Record, seed: int) -> bool:
+    main = asyncio.current_task()
+    assert main is not None
+    # A run that is asked to end ends its processes first.
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, main.cancel)
     with tempfile.TemporaryDirectory() as folder:
         async with World(folder=Path(folder), seed=seed) as world:
             return await case(world, record)
